mangokeel: root interfaces, wire schema, buckets, connection IDs, views

Cause: an empty repository; parts that are built at the same time need fixed interfaces between them.

Change: docs/design.md with requirements, packages, messages and weighed choices; the root package with the interfaces; wire types generated from schemas; timer service (real and virtual); JSON-RPC between processes; weighted Maglev table; authenticated connection IDs; node view that never goes back.

Result: make check and the unit tests pass with the race detector.

--- /dev/null
+++ b/Makefile
@@ -0,0 +1,41 @@
+# Targets: build, test (what CI runs), fmt, lint, generate, demo, bench, clean.
+
+GO ?= go
+BIN := bin
+
+.PHONY: all build test check fmt lint unit generate demo bench clean
+
+all: build
+
+build:
+	$(GO) build -o $(BIN)/ ./cmd/...
+
+# test checks formatting and lint and runs all tests with the race detector.
+test: check unit
+
+check:
+	@out=$$($(GO) tool gofumpt -l .); if [ -n "$$out" ]; then echo "not formatted:"; echo "$$out"; exit 1; fi
+	$(GO) vet ./...
+	$(GO) tool revive -config revive.toml -set_exit_status ./...
+
+unit:
+	$(GO) test -race -count=1 ./...
+
+fmt:
+	$(GO) tool gofumpt -w .
+
+lint: check
+
+# generate needs protoc; its output is committed, so the build does not need it.
+generate:
+	$(GO) build -o $(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
+	PATH=$(CURDIR)/$(BIN):$$PATH $(GO) generate ./internal/wire
+
+demo: build
+	$(BIN)/standin demo --bin $(BIN)
+
+bench:
+	$(GO) test -run '^$$' -bench . -benchmem ./...
+
+clean:
+	rm -rf $(BIN)
--- /dev/null
+++ b/internal/cid/cid.go
@@ -0,0 +1,105 @@
+// Package cid makes and reads QUIC connection IDs that name their target.
+//
+// The agent's QUIC endpoint issues IDs with New. A balancer that knows the
+// service's keys reads the handle back with Read, without any table of flows:
+//
+//	k, err := cid.NewKeys(secrets)
+//	id := k.New(service, handle, random)
+//	handle, ok := k.Read(service, id)
+//
+// An ID is 20 bytes: the key's number, 3 random bytes, and one AES-128 block over
+// handle, service, 4 random bytes and 4 zero bytes. Read accepts an ID only for
+// the service it was made for, with 64 bits of check, so that a forged or foreign
+// ID cannot cross services.
+package cid
+
+import (
+	"crypto/aes"
+	"crypto/cipher"
+	"encoding/binary"
+
+	"github.com/cockroachdb/errors"
+
+	"mangokeel"
+)
+
+// Len is the length of an ID in bytes, the largest that QUIC version 1 allows.
+const Len = 20
+
+// KeyLen is the length of a key in bytes.
+const KeyLen = 16
+
+// Secret is one numbered key.
+type Secret struct {
+	Number uint8
+	Key    []byte
+}
+
+// Keys holds a service's keys. New uses the last one; Read accepts all. The zero
+// value reads nothing.
+type Keys struct {
+	blocks [256]cipher.Block
+	last   uint8
+}
+
+// NewKeys returns the keys made from secrets, oldest first.
+func NewKeys(secrets []Secret) (*Keys, error) {
+	k := &Keys{}
+	for _, s := range secrets {
+		if len(s.Key) != KeyLen {
+			return nil, errors.Newf("connection ID key %d has %d bytes, want %d", s.Number, len(s.Key), KeyLen)
+		}
+		b, err := aes.NewCipher(s.Key)
+		if err != nil {
+			return nil, errors.Wrap(err, "connection ID key")
+		}
+		k.blocks[s.Number] = b
+		k.last = s.Number
+	}
+	return k, nil
+}
+
+// New returns an ID for handle. The random number must differ from call to call.
+func (k *Keys) New(service mangokeel.ServiceID, handle mangokeel.Handle, random uint64) [Len]byte {
+	var id, p [Len]byte
+	id[0] = k.last
+	id[1], id[2], id[3] = byte(random>>32), byte(random>>40), byte(random>>48)
+	binary.BigEndian.PutUint32(p[4:], uint32(handle))
+	binary.BigEndian.PutUint32(p[8:], uint32(service))
+	binary.BigEndian.PutUint32(p[12:], uint32(random))
+	k.blocks[k.last].Encrypt(id[4:], p[4:])
+	return id
+}
+
+// Read returns the handle in id if id was made for service with one of the keys.
+func (k *Keys) Read(service mangokeel.ServiceID, id []byte) (mangokeel.Handle, bool) {
+	if len(id) != Len || k.blocks[id[0]] == nil {
+		return 0, false
+	}
+	var p [aes.BlockSize]byte
+	k.blocks[id[0]].Decrypt(p[:], id[4:])
+	if binary.BigEndian.Uint32(p[4:]) != uint32(service) || binary.BigEndian.Uint32(p[12:]) != 0 {
+		return 0, false
+	}
+	h := mangokeel.Handle(binary.BigEndian.Uint32(p[:]))
+	return h, h != 0
+}
+
+// Find returns the destination connection ID of a QUIC packet whose server issues
+// IDs of Len bytes, or nil when the packet is too short or malformed.
+func Find(packet []byte) []byte {
+	if len(packet) == 0 {
+		return nil
+	}
+	if packet[0]&0x80 == 0 {
+		if len(packet) < 1+Len {
+			return nil
+		}
+		return packet[1 : 1+Len]
+	}
+	const dcid = 6 // first byte, version (4), length of the destination ID
+	if len(packet) < dcid || len(packet) < dcid+int(packet[dcid-1]) {
+		return nil
+	}
+	return packet[dcid : dcid+int(packet[dcid-1])]
+}
--- /dev/null
+++ b/internal/cid/cid_test.go
@@ -0,0 +1,49 @@
+package cid_test
+
+import (
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"mangokeel/internal/cid"
+)
+
+func keys(t testing.TB) *cid.Keys {
+	k, err := cid.NewKeys([]cid.Secret{{Number: 1, Key: make([]byte, cid.KeyLen)}, {Number: 2, Key: []byte("0123456789abcdef")}})
+	qt.Assert(t, err, qt.IsNil)
+	return k
+}
+
+// Guards against an ID that names a target of another service.
+func TestReadChecksService(t *testing.T) {
+	c := qt.New(t)
+	k := keys(t)
+	id := k.New(7, 42, 0x1234567890abcdef)
+	h, ok := k.Read(7, id[:])
+	c.Assert(ok, qt.IsTrue)
+	c.Assert(int(h), qt.Equals, 42)
+	_, ok = k.Read(8, id[:])
+	c.Assert(ok, qt.IsFalse)
+	id[9] ^= 1
+	_, ok = k.Read(7, id[:])
+	c.Assert(ok, qt.IsFalse)
+}
+
+// Guards against crashes on any bytes that a caller may send.
+func FuzzFind(f *testing.F) {
+	f.Add([]byte{})
+	f.Add([]byte{0xc0, 0, 0, 0, 1, 255})
+	k := keys(f)
+	f.Fuzz(func(_ *testing.T, b []byte) {
+		k.Read(1, cid.Find(b))
+	})
+}
+
+func BenchmarkRead(b *testing.B) {
+	k := keys(b)
+	id := k.New(7, 42, 99)
+	b.ReportAllocs()
+	for b.Loop() {
+		k.Read(7, id[:])
+	}
+}
