process: frame for daemons with command line, logs, signals and status

Cause: four programs need the same frame; a lagging control instance would tell a node that has just joined that it is unknown.

--- /dev/null
+++ b/internal/process/process.go
@@ -0,0 +1,176 @@
+// Package process is the frame that every daemon runs in: command line, logs,
+// signals, and a status server with metrics and a dump of the state.
+//
+// A daemon's main function is
+//
+//	func main() {
+//		var cfg settings.Agent
+//		process.Main("agent", &cfg, func(p *process.Process) error { ... })
+//	}
+//
+// The function adds the daemon's parts to p.Group and returns; Main then runs the
+// group until a signal arrives or a part ends.
+package process
+
+import (
+	"context"
+	"encoding/json"
+	"fmt"
+	"net"
+	"net/http"
+	"net/netip"
+	"os"
+	"runtime/debug"
+	"syscall"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/jessevdk/go-flags"
+	"github.com/oklog/run"
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/collectors"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"mangokeel/pkg/settings"
+)
+
+// Exit codes of all programs.
+const (
+	// ExitOK means that the program did what was asked or was stopped by a signal.
+	ExitOK = 0
+	// ExitFailure means that a part failed.
+	ExitFailure = 1
+	// ExitUsage means bad arguments or settings; nothing was started.
+	ExitUsage = 2
+)
+
+// Process is what a daemon's parts share.
+type Process struct {
+	Log      log.Logger
+	Registry *prometheus.Registry
+	Group    *run.Group
+	dump     func() any
+}
+
+// SetDump sets the function whose result is served as JSON on /dump. It is called
+// from any goroutine.
+func (p *Process) SetDump(fn func() any) { p.dump = fn }
+
+type arguments struct {
+	Config  string `short:"c" long:"config" description:"settings file (YAML)" value-name:"FILE"`
+	Check   bool   `long:"check" description:"check the settings and exit"`
+	Verbose bool   `short:"v" long:"verbose" description:"log at debug level"`
+	Version bool   `long:"version" description:"print the version and exit"`
+}
+
+// Main runs a daemon and ends the program with one of the exit codes. cfg is
+// filled from the settings file before start is called.
+func Main(name string, cfg settings.Checker, start func(p *Process) error) {
+	os.Exit(daemon(name, cfg, start))
+}
+
+func daemon(name string, cfg settings.Checker, start func(p *Process) error) int {
+	var args arguments
+	parser := flags.NewParser(&args, flags.HelpFlag|flags.PassDoubleDash)
+	parser.Name = name
+	if code, done := parse(parser, &args); done {
+		return code
+	}
+	if err := settings.Load(args.Config, cfg); err != nil {
+		fmt.Fprintf(os.Stderr, "%s: %v\n", name, err)
+		return ExitUsage
+	}
+	if args.Check {
+		return ExitOK
+	}
+	p := newProcess(name, args.Verbose)
+	if err := start(p); err != nil {
+		_ = level.Error(p.Log).Log("msg", "start failed", "err", err)
+		return ExitFailure
+	}
+	p.Group.Add(run.SignalHandler(context.Background(), syscall.SIGINT, syscall.SIGTERM))
+	_ = level.Info(p.Log).Log("msg", "started")
+	err := p.Group.Run()
+	if errors.HasType(err, run.SignalError{}) || err == nil {
+		_ = level.Info(p.Log).Log("msg", "stopped")
+		return ExitOK
+	}
+	_ = level.Error(p.Log).Log("msg", "failed", "err", err)
+	return ExitFailure
+}
+
+func newProcess(name string, verbose bool) *Process {
+	l := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
+	l = log.With(l, "ts", log.DefaultTimestampUTC, "process", name)
+	allowed := level.AllowInfo()
+	if verbose {
+		allowed = level.AllowDebug()
+	}
+	r := prometheus.NewRegistry()
+	r.MustRegister(collectors.NewGoCollector(), collectors.NewProcessCollector(collectors.ProcessCollectorOpts{}))
+	return &Process{
+		Log:      level.NewFilter(l, allowed),
+		Registry: r,
+		Group:    &run.Group{},
+		dump:     func() any { return struct{}{} },
+	}
+}
+
+// parse reads the command line. It is done when the program should end.
+func parse(parser *flags.Parser, args *arguments) (code int, done bool) {
+	rest, err := parser.Parse()
+	switch {
+	case flags.WroteHelp(err):
+		fmt.Println(err)
+		return ExitOK, true
+	case err != nil:
+		fmt.Fprintln(os.Stderr, err)
+		return ExitUsage, true
+	case args.Version:
+		fmt.Println(parser.Name, Version())
+		return ExitOK, true
+	case len(rest) > 0:
+		fmt.Fprintf(os.Stderr, "unexpected argument %q\n", rest[0])
+		return ExitUsage, true
+	case args.Config == "":
+		fmt.Fprintln(os.Stderr, "--config is required")
+		return ExitUsage, true
+	}
+	return ExitOK, false
+}
+
+// Version returns the module's version as the build recorded it.
+func Version() string {
+	if info, ok := debug.ReadBuildInfo(); ok {
+		return info.Main.Version
+	}
+	return "unknown"
+}
+
+// ServeStatus adds a server to the group that answers /metrics, /dump and
+// /healthz on addr. It does nothing when addr is the zero value.
+func (p *Process) ServeStatus(addr netip.AddrPort) error {
+	if !addr.IsValid() {
+		return nil
+	}
+	l, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return errors.Wrap(err, "listen for status")
+	}
+	mux := http.NewServeMux()
+	mux.Handle("GET /metrics", promhttp.HandlerFor(p.Registry, promhttp.HandlerOpts{}))
+	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) {
+		w.Header().Set("Content-Type", "application/json")
+		e := json.NewEncoder(w)
+		e.SetIndent("", "  ")
+		if err := e.Encode(p.dump()); err != nil {
+			http.Error(w, err.Error(), http.StatusInternalServerError)
+		}
+	})
+	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
+	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	p.Group.Add(func() error { return srv.Serve(l) }, func(error) { srv.Close() })
+	return nil
+}
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -44,7 +44,9 @@
 	joined  func(id uint32)
 
 	// id is 0 until the node has joined.
-	id      atomic.Uint32
+	id atomic.Uint32
+	// entered is the revision of the join.
+	entered uint64
 	polls   atomic.Uint64
 	moves   atomic.Uint64
 	at      int
@@ -184,6 +186,7 @@
 	if resp.GetCode() != wire.Code_CODE_ACCEPTED {
 		return false
 	}
+	f.entered = resp.GetRevision()
 	f.id.Store(resp.GetId())
 	f.joined(resp.GetId())
 	return true
@@ -199,6 +202,7 @@
 		Load:        r.Load,
 		Release:     r.Release,
 		WaitMs:      uint32(pollWait.Milliseconds()),
+		Joined:      f.entered,
 	}
 	var resp wire.SyncReply
 	f.polls.Add(1)
