--- /dev/null
+++ b/internal/replica/election.go
@@ -0,0 +1,194 @@
+package replica
+
+import (
+	"net/netip"
+	"slices"
+
+	"mangokeel/internal/wire"
+)
+
+// identify asks the instances of the first start who they are. The one with the
+// lowest address creates the cluster once all of them are known to be fresh. An
+// instance that lost its folder finds the others initialised and so waits to be
+// admitted.
+func (c *core) identify() {
+	c.resetDeadline()
+	if !slices.Contains(c.bootstrap, c.address) || !c.lowest() {
+		return
+	}
+	if c.fresh == nil {
+		c.fresh = map[netip.AddrPort]*wire.VoteReply{}
+	}
+	c.fresh[c.address] = &wire.VoteReply{From: c.id(), Name: c.name}
+	if len(c.fresh) == len(c.bootstrap) {
+		c.create()
+		return
+	}
+	c.fresh = nil
+	for _, a := range c.bootstrap {
+		if a != c.address {
+			c.send(a, &wire.VoteRequest{Phase: wire.Phase_PHASE_IDENTIFY, From: c.id()})
+		}
+	}
+}
+
+func (c *core) lowest() bool {
+	for _, a := range c.bootstrap {
+		if a.Compare(c.address) < 0 {
+			return false
+		}
+	}
+	return true
+}
+
+// create starts a cluster, named after this instance's own id so that no two
+// clusters share a name.
+func (c *core) create() {
+	m := &wire.Membership{}
+	for _, a := range c.bootstrap {
+		r := c.fresh[a]
+		m.Members = append(m.Members, &wire.Member{Id: r.GetFrom(), Name: r.GetName(), Address: a.String(), Voter: true})
+	}
+	c.fresh = nil
+	c.meta.Cluster, c.meta.Term = c.id(), 1
+	c.dirty = true
+	c.appendOwn(&wire.Entry{Body: &wire.Entry_Membership{Membership: m}})
+	c.findMembership()
+	c.campaign()
+}
+
+// campaign asks for pre-votes. Instances that may not vote only wait.
+func (c *core) campaign() {
+	c.resetDeadline()
+	if !votes(c.membership, c.id()) || c.meta.GetDamage() == wire.Damage_DAMAGE_BAD {
+		return
+	}
+	c.role = preCandidate
+	c.canvass(wire.Phase_PHASE_PRE, c.term()+1)
+}
+
+// elect starts an election in a new term.
+func (c *core) elect() {
+	c.counts.elections++
+	c.follow(c.term()+1, "")
+	c.meta.Vote = c.id()
+	c.dirty = true
+	c.role = candidate
+	c.resetDeadline()
+	c.canvass(wire.Phase_PHASE_REAL, c.term())
+}
+
+func (c *core) canvass(phase wire.Phase, term uint64) {
+	c.ballots = map[string]ballot{c.id(): {granted: true, torn: c.torn()}}
+	for _, id := range voters(c.membership) {
+		if id == c.id() {
+			continue
+		}
+		c.send(memberOf(find(c.membership, id)).Address, &wire.VoteRequest{
+			Phase:     phase,
+			Cluster:   c.meta.GetCluster(),
+			From:      c.id(),
+			To:        id,
+			Term:      term,
+			LastIndex: c.log.last(),
+			LastTerm:  c.log.lastTerm(),
+		})
+	}
+	c.count()
+}
+
+func (c *core) torn() bool { return c.meta.GetDamage() != wire.Damage_DAMAGE_UNSPECIFIED }
+
+// count checks whether the ballots suffice. A voter whose log lost its tail may
+// have forgotten a committed entry, so its vote counts only when every voter
+// grants one: then the candidate has the longest of all logs.
+func (c *core) count() {
+	won := majority(c.membership, func(id string) bool { b := c.ballots[id]; return b.granted && !b.torn })
+	all := true
+	for _, id := range voters(c.membership) {
+		all = all && c.ballots[id].granted
+	}
+	switch {
+	case !won && !all:
+	case c.role == preCandidate:
+		c.elect()
+	default:
+		c.becomeLeader()
+	}
+}
+
+func (c *core) handleVote(call uint64, m *wire.VoteRequest) {
+	r := &wire.VoteReply{Phase: m.GetPhase(), From: c.id(), Asked: m.GetTerm()}
+	if m.GetPhase() == wire.Phase_PHASE_IDENTIFY {
+		r.Cluster, r.Name, r.Address, r.Term = c.meta.GetCluster(), c.name, c.address.String(), c.term()
+		c.reply(call, r)
+		return
+	}
+	if !c.admit(call, m.GetCluster(), m.GetTo()) {
+		return
+	}
+	r.Granted = !c.led() && c.grant(m)
+	r.Torn = c.torn()
+	r.Term = c.term()
+	c.reply(call, r)
+}
+
+// led reports whether the instance leads or has heard from a leader recently.
+// Candidates are refused then, without regard to their term, so that an instance
+// that lost contact cannot depose a working leader.
+func (c *core) led() bool {
+	return c.role == leader || !c.heard.IsZero() && c.now.Sub(c.heard) < electionMin
+}
+
+func (c *core) grant(m *wire.VoteRequest) bool {
+	current := m.GetLastTerm() > c.log.lastTerm() ||
+		m.GetLastTerm() == c.log.lastTerm() && m.GetLastIndex() >= c.log.last()
+	able := c.meta.GetDamage() != wire.Damage_DAMAGE_BAD
+	if m.GetPhase() == wire.Phase_PHASE_PRE {
+		return able && current && m.GetTerm() > c.term()
+	}
+	if m.GetTerm() > c.term() {
+		c.follow(m.GetTerm(), "")
+	}
+	free := c.meta.GetVote() == "" || c.meta.GetVote() == m.GetFrom()
+	if !able || !current || m.GetTerm() != c.term() || !free {
+		return false
+	}
+	c.meta.Vote = m.GetFrom()
+	c.dirty = true
+	c.resetDeadline()
+	return true
+}
+
+func (c *core) handleVoteReply(m *wire.VoteReply) {
+	if m.GetPhase() == wire.Phase_PHASE_IDENTIFY {
+		c.handleIdentity(m)
+		return
+	}
+	if m.GetTerm() > c.term() {
+		c.follow(m.GetTerm(), "")
+		return
+	}
+	pre := c.role == preCandidate && m.GetPhase() == wire.Phase_PHASE_PRE && m.GetAsked() == c.term()+1
+	vote := c.role == candidate && m.GetPhase() == wire.Phase_PHASE_REAL && m.GetAsked() == c.term()
+	if !pre && !vote {
+		return
+	}
+	c.ballots[m.GetFrom()] = ballot{granted: m.GetGranted(), torn: m.GetTorn()}
+	c.count()
+}
+
+func (c *core) handleIdentity(m *wire.VoteReply) {
+	if c.meta.GetCluster() != "" || m.GetCluster() != "" {
+		c.fresh = nil
+		return
+	}
+	a, err := netip.ParseAddrPort(m.GetAddress())
+	if err != nil || !slices.Contains(c.bootstrap, a) {
+		return
+	}
+	if c.fresh == nil {
+		c.fresh = map[netip.AddrPort]*wire.VoteReply{}
+	}
+	c.fresh[a] = m
+}
--- /dev/null
+++ b/internal/replica/engine.go
@@ -0,0 +1,172 @@
+package replica
+
+import (
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"mangokeel"
+	"mangokeel/internal/wire"
+)
+
+// engine joins core, storage and machine. It has no goroutines; send must not
+// block.
+type engine struct {
+	core    *core
+	storage *storage
+	machine mangokeel.Machine
+	clock   mangokeel.Clock
+	send    func(m message)
+	// applied is called with the result of each applied command.
+	done func(e *wire.Entry, result []byte)
+	opts options
+	// applied never falls and never exceeds core.commit.
+	applied uint64
+	// bytes counts the commands applied since the last snapshot.
+	bytes int
+}
+
+// open loads the data folder and restores the machine.
+func (e *engine) open(d mangokeel.Disk, cfg Config) error {
+	s, st, err := load(d, func() string { return e.opts.identity(cfg.Name) })
+	if err != nil {
+		return errors.Wrap(err, "load the data folder")
+	}
+	e.storage = s
+	if x := st.snapshot; x != nil {
+		if err := e.machine.Restore(mangokeel.Revision(x.GetIndex()), x.GetState()); err != nil {
+			return errors.Wrap(err, "restore the snapshot")
+		}
+		e.applied = x.GetIndex()
+	}
+	e.core = newCore(e.clock.Now(), cfg, e.opts.rand, st)
+	return nil
+}
+
+// flush does what the core asks for until nothing is left. After an error the
+// engine must not be used again.
+func (e *engine) flush() error {
+	for e.core.pending() {
+		r := e.core.take()
+		if err := e.execute(r); err != nil {
+			return err
+		}
+		e.core.persisted(e.clock.Now(), r)
+		if err := e.apply(e.core.commit); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func (e *engine) execute(r ready) error {
+	if r.meta == nil {
+		e.sendAll(r.early)
+	} else if err := e.storage.writeMeta(r.meta); err != nil {
+		return errors.Wrap(err, "write meta")
+	}
+	if r.snapshot != nil {
+		if err := e.install(r.snapshot); err != nil {
+			return errors.Wrap(err, "install a snapshot")
+		}
+	}
+	if len(r.entries) > 0 {
+		if err := e.storage.append(r.prev, r.prevTerm, r.entries); err != nil {
+			return errors.Wrap(err, "append to the log")
+		}
+	}
+	if r.meta != nil {
+		e.sendAll(r.early)
+	}
+	e.sendAll(r.messages)
+	return nil
+}
+
+func (e *engine) sendAll(list []message) {
+	for _, m := range list {
+		e.send(m)
+	}
+}
+
+func (e *engine) install(s *wire.Snapshot) error {
+	if err := e.storage.save(s); err != nil {
+		return err
+	}
+	if err := e.storage.reset(s.GetIndex(), s.GetTerm()); err != nil {
+		return err
+	}
+	e.applied, e.bytes = s.GetIndex(), 0
+	return e.machine.Restore(mangokeel.Revision(s.GetIndex()), s.GetState())
+}
+
+// apply runs the committed entries up to i, which are synced on this instance.
+func (e *engine) apply(i uint64) error {
+	if i < e.applied {
+		broken("applied %d exceeds commit %d", e.applied, i)
+	}
+	for e.applied < min(i, e.core.stable) {
+		x := e.core.log.at(e.applied + 1)
+		var result []byte
+		if _, ok := x.GetBody().(*wire.Entry_Command); ok {
+			result = e.machine.Apply(mangokeel.Revision(x.GetIndex()), x.GetCommand())
+		}
+		e.applied = x.GetIndex()
+		e.bytes += len(x.GetCommand()) + entryOverhead
+		e.done(x, result)
+	}
+	return e.snapshot()
+}
+
+// snapshot stores the machine's state once enough was applied since the last one.
+func (e *engine) snapshot() error {
+	last := e.core.state.GetIndex()
+	if e.applied-last < e.opts.snapshotEntries && e.bytes < e.opts.snapshotBytes {
+		return nil
+	}
+	b, err := e.machine.Snapshot()
+	if err != nil {
+		return errors.Wrap(err, "take a snapshot")
+	}
+	term, _ := e.core.log.term(e.applied)
+	s := &wire.Snapshot{Index: e.applied, Term: term, Membership: e.core.membershipAt(e.applied), State: b}
+	if err := e.storage.save(s); err != nil {
+		return errors.Wrap(err, "save a snapshot")
+	}
+	e.core.compacted(s, e.opts.keepEntries)
+	e.bytes = 0
+	return errors.Wrap(e.storage.compact(e.core.log.base), "drop segments")
+}
+
+// status returns what the instance knows. The age is computed from confirmed by
+// whoever asks, so that it is right however long the engine was held up.
+func (e *engine) status() (s mangokeel.LogStatus, now, confirmed time.Time) {
+	c := e.core
+	s = mangokeel.LogStatus{
+		ID:        c.id(),
+		Leading:   c.role == leader,
+		Voter:     votes(c.membership, c.id()),
+		Term:      c.term(),
+		Applied:   mangokeel.Revision(e.applied),
+		Committed: mangokeel.Revision(c.commit),
+	}
+	if c.leader != "" && (c.role == leader || c.role == follower) {
+		s.Leader = c.leaderAddr
+	}
+	return s, c.now, c.confirmed
+}
+
+// age returns the time since confirmed, or NoAge when now is not a later time.
+func age(now, seen, confirmed time.Time) time.Duration {
+	if confirmed.IsZero() || now.Before(seen) {
+		return NoAge
+	}
+	return min(now.Sub(confirmed), NoAge)
+}
+
+func (c *core) membershipAt(i uint64) *wire.Membership {
+	if m, _ := c.log.membershipAt(i); m != nil {
+		return proto.Clone(m).(*wire.Membership)
+	}
+	return c.state.GetMembership()
+}
--- /dev/null
+++ b/internal/replica/metrics.go
@@ -0,0 +1,89 @@
+package replica
+
+import (
+	"github.com/prometheus/client_golang/prometheus"
+
+	"mangokeel"
+)
+
+const namespace = "mangokeel_replica"
+
+// register adds the instance's metrics to the registerer, if there is one.
+func (n *Node) register(name string) error {
+	if n.opts.register == nil {
+		return nil
+	}
+	labels := prometheus.Labels{"instance_name": name}
+	counter := func(metric, help string, value func(view) uint64) prometheus.Collector {
+		return prometheus.NewCounterFunc(prometheus.CounterOpts{
+			Namespace: namespace, Name: metric, Help: help, ConstLabels: labels,
+		}, func() float64 { return float64(value(n.view())) })
+	}
+	gauge := func(metric, help string, value func(view) float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{
+			Namespace: namespace, Name: metric, Help: help, ConstLabels: labels,
+		}, func() float64 { return value(n.view()) })
+	}
+	for _, c := range []prometheus.Collector{
+		counter("elections_total", "Elections started by this instance.", func(v view) uint64 { return v.counts.elections }),
+		counter("leaderships_total", "Elections won by this instance.", func(v view) uint64 { return v.counts.leaderships }),
+		counter("depositions_total", "Leaderships that ended.", func(v view) uint64 { return v.counts.depositions }),
+		counter("refused_total", "Calls refused because they were for another instance or cluster.", func(v view) uint64 { return v.counts.refused }),
+		counter("clock_backwards_total", "Times the clock went backwards.", func(v view) uint64 { return v.counts.backwards }),
+		counter("applied_total", "Log index applied.", func(v view) uint64 { return uint64(v.status.Applied) }),
+		gauge("committed", "Log index known to be committed.", func(v view) float64 { return float64(v.status.Committed) }),
+		gauge("term", "Current term.", func(v view) float64 { return float64(v.status.Term) }),
+		gauge("leading", "1 while this instance leads.", func(v view) float64 { return number(v.status.Leading) }),
+		gauge("age_seconds", "Time since a majority confirmed the committed index.", func(v view) float64 {
+			return age(n.timers.Now(), v.now, v.confirmed).Seconds()
+		}),
+	} {
+		if err := n.opts.register.Register(c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+func number(b bool) float64 {
+	if b {
+		return 1
+	}
+	return 0
+}
+
+func (n *Node) view() view {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.seen
+}
+
+// Dump is the state of an instance for a state dump.
+type Dump struct {
+	mangokeel.LogStatus
+	Role     string
+	Members  []Member
+	Joint    bool
+	Last     uint64
+	Snapshot uint64
+	Damage   string
+	Error    string `json:",omitempty"`
+}
+
+// Dump returns the present state as a value for encoding/json.
+func (n *Node) Dump() any {
+	v := n.view()
+	d := Dump{
+		LogStatus: n.Status(),
+		Role:      v.role.String(),
+		Members:   n.Members(),
+		Joint:     v.membership.GetJoint(),
+		Last:      v.last,
+		Snapshot:  v.snapshot,
+		Damage:    v.damage.String(),
+	}
+	if err := n.Err(); err != nil {
+		d.Error = err.Error()
+	}
+	return d
+}
--- /dev/null
+++ b/internal/replica/node_test.go
@@ -0,0 +1,206 @@
+package replica_test
+
+import (
+	"context"
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+	"path/filepath"
+	"sync"
+	"sync/atomic"
+	"testing"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"mangokeel"
+	"mangokeel/internal/disk"
+	"mangokeel/internal/jsonrpc"
+	"mangokeel/internal/replica"
+	"mangokeel/internal/timer"
+)
+
+// journal is a machine that keeps all commands.
+type journal struct {
+	mu   sync.Mutex
+	list []string
+}
+
+func (j *journal) Apply(_ mangokeel.Revision, b []byte) []byte {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.list = append(j.list, string(b))
+	return binary.AppendUvarint(nil, uint64(len(j.list)))
+}
+
+func (j *journal) Snapshot() ([]byte, error) {
+	var b []byte
+	for _, s := range j.list {
+		b = append(binary.AppendUvarint(b, uint64(len(s))), s...)
+	}
+	return b, nil
+}
+
+func (j *journal) Restore(_ mangokeel.Revision, b []byte) error {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	j.list = nil
+	for len(b) > 0 {
+		n, k := binary.Uvarint(b)
+		j.list = append(j.list, string(b[k:k+int(n)]))
+		b = b[k+int(n):]
+	}
+	return nil
+}
+
+func (j *journal) content() []string {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	return append([]string(nil), j.list...)
+}
+
+// instance is one replica on a real folder, behind a real server.
+type instance struct {
+	name, path string
+	addr       netip.AddrPort
+	node       atomic.Pointer[replica.Node]
+	srv        *jsonrpc.Server
+	client     *jsonrpc.Client
+	journal    *journal
+}
+
+func (x *instance) methods() jsonrpc.Methods {
+	m := (&replica.Node{}).Methods()
+	for name, method := range m {
+		m[name] = jsonrpc.Method{New: method.New, Handle: func(ctx context.Context, req proto.Message) (proto.Message, error) {
+			n := x.node.Load()
+			if n == nil {
+				return nil, errors.New("not started")
+			}
+			return n.Methods()[name].Handle(ctx, req)
+		}}
+	}
+	return m
+}
+
+func (x *instance) listen(t testing.TB) {
+	var err error
+	x.srv, err = jsonrpc.Listen(x.addr, x.methods())
+	qt.Assert(t, err, qt.IsNil)
+	x.addr = x.srv.Addr()
+}
+
+func (x *instance) start(t testing.TB, members []replica.Member, opts ...replica.Option) {
+	d, err := disk.Open(x.path)
+	qt.Assert(t, err, qt.IsNil)
+	x.client, x.journal = jsonrpc.NewClient(), &journal{}
+	cfg := replica.Config{Name: x.name, Address: x.addr, Members: members}
+	n, err := replica.New(cfg, x.journal, d, x.client, timer.Real{}, opts...)
+	qt.Assert(t, err, qt.IsNil)
+	x.node.Store(n)
+}
+
+func (x *instance) kill() {
+	x.srv.Close()
+	x.client.Close()
+	x.node.Swap(nil).Close()
+}
+
+// cluster starts n instances, which are stopped when the test ends.
+func cluster(t testing.TB, n int, opts ...replica.Option) ([]*instance, []replica.Member) {
+	var list []*instance
+	var members []replica.Member
+	dir := t.TempDir()
+	for i := range n {
+		x := &instance{name: fmt.Sprintf("c%d", i), addr: netip.MustParseAddrPort("127.0.0.1:0")}
+		x.path = filepath.Join(dir, x.name)
+		x.listen(t)
+		list = append(list, x)
+		members = append(members, replica.Member{Name: x.name, Address: x.addr})
+	}
+	for _, x := range list {
+		x.start(t, members, opts...)
+	}
+	t.Cleanup(func() {
+		for _, x := range list {
+			if x.node.Load() != nil {
+				x.kill()
+			}
+		}
+	})
+	return list, members
+}
+
+// eventually waits until ok holds.
+func eventually(t testing.TB, what string, ok func() bool) {
+	t.Helper()
+	for end := time.Now().Add(10 * time.Second); !ok(); time.Sleep(5 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("not within 10 s: %s", what)
+		}
+	}
+}
+
+// leading waits for a leader that commits and returns it.
+func leading(t testing.TB, list []*instance) *instance {
+	var found *instance
+	eventually(t, "a leader", func() bool {
+		for _, x := range list {
+			n := x.node.Load()
+			if n == nil || !n.Status().Leading {
+				continue
+			}
+			ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+			_, _, err := n.Propose(ctx, []byte("leading"))
+			cancel()
+			if err == nil {
+				found = x
+				return true
+			}
+		}
+		return false
+	})
+	return found
+}
+
+func same(list []*instance) func() bool {
+	return func() bool {
+		for _, x := range list[1:] {
+			if fmt.Sprint(x.journal.content()) != fmt.Sprint(list[0].journal.content()) {
+				return false
+			}
+		}
+		return true
+	}
+}
+
+// Guards against a leader kill that stops changes for more than 3 s, and against
+// accepted commands that are missing after restarts.
+func TestLeaderKill(t *testing.T) {
+	list, members := cluster(t, 3)
+	for round := range 3 {
+		old := leading(t, list)
+		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+		_, _, err := old.node.Load().Propose(ctx, fmt.Appendf(nil, "round %d", round))
+		cancel()
+		qt.Assert(t, err, qt.IsNil)
+		killed := time.Now()
+		old.kill()
+		leading(t, list)
+		gap := time.Since(killed)
+		t.Logf("round %d: %v from the kill to the next accepted command", round, gap)
+		qt.Assert(t, gap < 3*time.Second, qt.IsTrue, qt.Commentf("%v", gap))
+		old.listen(t)
+		old.start(t, members)
+	}
+	eventually(t, "all instances agree", same(list))
+	got := list[0].journal.content()
+	for round := range 3 {
+		qt.Assert(t, got, qt.Contains, fmt.Sprintf("round %d", round))
+	}
+	for _, x := range list {
+		eventually(t, "a recent confirmation", func() bool { return x.node.Load().Status().Age < time.Second })
+	}
+}
--- /dev/null
+++ b/internal/replica/record.go
@@ -0,0 +1,98 @@
+package replica
+
+import (
+	"bytes"
+	"encoding/binary"
+	"hash/crc32"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"mangokeel"
+)
+
+// A record is a header and a payload. The header has the magic, the length and
+// the CRC-32C of the payload, and the CRC-32C of these 12 bytes, all little
+// endian. Its own checksum tells a record that is cut short from one whose length
+// is wrong.
+const (
+	headerSize = 16
+	magic      = "mkr1"
+)
+
+// Errors of decode.
+var (
+	// errTorn means that the bytes end within a record.
+	errTorn = errors.New("record is incomplete")
+	// errBad means that a checksum does not match.
+	errBad = errors.New("record fails its checksum")
+)
+
+func checksum(b []byte) uint32 { return crc32.Checksum(b, crc32.MakeTable(crc32.Castagnoli)) }
+
+// encode returns the record of a message.
+func encode(m proto.Message) ([]byte, error) {
+	b := make([]byte, headerSize, headerSize+proto.Size(m))
+	b, err := proto.MarshalOptions{}.MarshalAppend(b, m)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode record")
+	}
+	payload := b[headerSize:]
+	copy(b, magic)
+	binary.LittleEndian.PutUint32(b[4:], uint32(len(payload)))
+	binary.LittleEndian.PutUint32(b[8:], checksum(payload))
+	binary.LittleEndian.PutUint32(b[12:], checksum(b[:12]))
+	return b, nil
+}
+
+func goodHeader(b []byte) bool {
+	return string(b[:4]) == magic && binary.LittleEndian.Uint32(b[12:]) == checksum(b[:12])
+}
+
+// decode reads the record at the start of b into m and returns its size.
+func decode(b []byte, m proto.Message) (int, error) {
+	if len(b) < headerSize {
+		if n := min(len(b), len(magic)); string(b[:n]) != magic[:n] {
+			return 0, errBad
+		}
+		return 0, errTorn
+	}
+	if !goodHeader(b) {
+		return 0, errBad
+	}
+	n := uint64(binary.LittleEndian.Uint32(b[4:]))
+	if uint64(len(b)-headerSize) < n {
+		return 0, errTorn
+	}
+	payload := b[headerSize : headerSize+n]
+	if checksum(payload) != binary.LittleEndian.Uint32(b[8:]) {
+		return 0, errBad
+	}
+	if err := proto.Unmarshal(payload, m); err != nil {
+		return 0, errors.WithSecondaryError(errBad, err)
+	}
+	return headerSize + int(n), nil
+}
+
+// decodeOnly reads a file that is one whole record.
+func decodeOnly(b []byte, m proto.Message) error {
+	n, err := decode(b, m)
+	if err != nil || n != len(b) {
+		return errors.WithSecondaryError(mangokeel.ErrCorrupt, err)
+	}
+	return nil
+}
+
+// followed reports whether a record starts after the first byte of b.
+func followed(b []byte) bool {
+	for i := 1; ; i++ {
+		n := bytes.Index(b[min(i, len(b)):], []byte(magic))
+		if n < 0 {
+			return false
+		}
+		i += n
+		if len(b)-i >= headerSize && goodHeader(b[i:]) {
+			return true
+		}
+	}
+}
--- /dev/null
+++ b/internal/replica/storage.go
@@ -0,0 +1,428 @@
+package replica
+
+import (
+	"fmt"
+	"io/fs"
+	"slices"
+	"strings"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"mangokeel"
+	"mangokeel/internal/wire"
+)
+
+const (
+	metaA          = "meta-a"
+	metaB          = "meta-b"
+	segmentPrefix  = "log-"
+	snapshotPrefix = "snapshot-"
+	// segmentBytes is the size above which a new segment starts.
+	segmentBytes = 8 << 20
+)
+
+// stored is what an instance finds in its data folder.
+type stored struct {
+	meta     *wire.Meta
+	snapshot *wire.Snapshot
+	entries  entries
+}
+
+// segment is one file of the log.
+type segment struct {
+	number uint64
+	// last is the highest entry that was ever written to the segment.
+	last uint64
+}
+
+// storage keeps meta, log and snapshot in a data folder. After an error it must
+// not be used again.
+//
+// Each record is written with one sync after the one before it was synced, so
+// only the last record can be damaged by a crash.
+type storage struct {
+	disk mangokeel.Disk
+	// meta is the last one written.
+	meta *wire.Meta
+	// segments is in ascending order without gaps. The last one is open in file.
+	segments []segment
+	file     mangokeel.File
+	size     int
+	snapshot string
+}
+
+func segmentName(n uint64) string { return fmt.Sprintf("%s%016x", segmentPrefix, n) }
+
+func snapshotName(i uint64) string { return fmt.Sprintf("%s%016x", snapshotPrefix, i) }
+
+func corrupt(format string, args ...any) error {
+	return errors.Wrapf(mangokeel.ErrCorrupt, format, args...)
+}
+
+// load opens the data folder. newID gives the identity of a folder that holds
+// nothing yet. Every load counts as a start and is recorded before it returns.
+func load(d mangokeel.Disk, newID func() string) (*storage, *stored, error) {
+	names, err := d.List()
+	if err != nil {
+		return nil, nil, err
+	}
+	s := &storage{disk: d}
+	meta, err := s.readMeta(names)
+	if err != nil {
+		return nil, nil, err
+	}
+	if meta == nil {
+		return s.create(names, newID())
+	}
+	s.meta = meta
+	st := &stored{}
+	if err := s.readSnapshot(names, st); err != nil {
+		return nil, nil, err
+	}
+	if err := s.readSegments(names, st); err != nil {
+		return nil, nil, err
+	}
+	st.meta = proto.Clone(s.meta).(*wire.Meta)
+	return s, st, nil
+}
+
+// create sets up an empty data folder.
+func (s *storage) create(names []string, id string) (*storage, *stored, error) {
+	for _, name := range names {
+		b, err := s.disk.Read(name)
+		if err != nil {
+			return nil, nil, err
+		}
+		if len(b) > 0 {
+			return nil, nil, corrupt("%s exists without a meta file", name)
+		}
+	}
+	if err := s.openSegment(1); err != nil {
+		return nil, nil, err
+	}
+	m := &wire.Meta{Id: id, Segment: 1, Starts: 1}
+	if err := s.writeMeta(m); err != nil {
+		return nil, nil, err
+	}
+	return s, &stored{meta: proto.Clone(m).(*wire.Meta)}, nil
+}
+
+// readMeta returns the newest good copy, or nil when there is no copy. Copy A is
+// always written first and nothing relies on a version before copy B has it too,
+// so either copy alone is new enough.
+func (s *storage) readMeta(names []string) (*wire.Meta, error) {
+	var newest *wire.Meta
+	var failed error
+	for _, name := range []string{metaA, metaB} {
+		if !slices.Contains(names, name) {
+			continue
+		}
+		b, err := s.disk.Read(name)
+		if err != nil {
+			return nil, err
+		}
+		m := &wire.Meta{}
+		if err := decodeOnly(b, m); err != nil {
+			failed = errors.Wrap(err, name)
+			continue
+		}
+		if newest == nil || m.GetSequence() > newest.GetSequence() {
+			newest = m
+		}
+	}
+	if newest == nil {
+		return nil, failed
+	}
+	return newest, nil
+}
+
+// writeMeta makes m durable in both copies.
+func (s *storage) writeMeta(m *wire.Meta) error {
+	m.Sequence = s.meta.GetSequence() + 1
+	m.Segment = max(m.GetSegment(), s.meta.GetSegment())
+	b, err := encode(m)
+	if err != nil {
+		return err
+	}
+	for _, name := range []string{metaA, metaB} {
+		if err := s.disk.Replace(name, b); err != nil {
+			return errors.Wrap(err, name)
+		}
+	}
+	s.meta = m
+	return nil
+}
+
+func (s *storage) readSnapshot(names []string, st *stored) error {
+	for _, name := range names {
+		if strings.HasPrefix(name, snapshotPrefix) {
+			s.snapshot = max(s.snapshot, name)
+		}
+	}
+	if s.snapshot == "" {
+		return nil
+	}
+	b, err := s.disk.Read(s.snapshot)
+	if err != nil {
+		return err
+	}
+	st.snapshot = &wire.Snapshot{}
+	return errors.Wrap(decodeOnly(b, st.snapshot), s.snapshot)
+}
+
+// readSegments reads the log, cuts off a damaged tail and opens the last segment.
+func (s *storage) readSegments(names []string, st *stored) error {
+	for _, name := range names {
+		var n uint64
+		if strings.HasPrefix(name, segmentPrefix) {
+			if _, err := fmt.Sscanf(name[len(segmentPrefix):], "%x", &n); err != nil {
+				return corrupt("segment name %s", name)
+			}
+			s.segments = append(s.segments, segment{number: n})
+		}
+	}
+	if err := s.checkSegments(); err != nil {
+		return err
+	}
+	r := &reader{}
+	for i := range s.segments {
+		if err := s.readSegment(r, i); err != nil {
+			return err
+		}
+	}
+	if err := s.start(r); err != nil {
+		return err
+	}
+	return s.reconcile(r, st)
+}
+
+func (s *storage) checkSegments() error {
+	for i, x := range s.segments {
+		if x.number != s.segments[0].number+uint64(i) {
+			return corrupt("segment before %s is missing", segmentName(x.number))
+		}
+	}
+	if n := len(s.segments); n == 0 || s.segments[n-1].number < s.meta.GetSegment() {
+		return corrupt("%s is missing", segmentName(s.meta.GetSegment()))
+	}
+	return nil
+}
+
+// reader collects the batches of all segments.
+type reader struct {
+	log entries
+	// begun is set after the first batch.
+	begun bool
+	// reset is the index of the last reset, which a snapshot must reach.
+	reset  uint64
+	damage wire.Damage
+	// size is that of the good part of the last segment.
+	size, cut int
+}
+
+func (s *storage) readSegment(r *reader, i int) error {
+	name := segmentName(s.segments[i].number)
+	b, err := s.disk.Read(name)
+	if err != nil {
+		return err
+	}
+	r.size, r.cut = 0, 0
+	for r.size < len(b) {
+		var batch wire.Batch
+		n, err := decode(b[r.size:], &batch)
+		if err != nil {
+			return r.tail(name, b[r.size:], err, i == len(s.segments)-1)
+		}
+		if err := r.add(&batch); err != nil {
+			return errors.Wrap(err, name)
+		}
+		s.segments[i].last = max(s.segments[i].last, batch.GetIndex()+uint64(len(batch.GetEntries())))
+		r.size += n
+	}
+	return nil
+}
+
+// tail judges the bytes that follow the last good record of a segment.
+func (r *reader) tail(name string, b []byte, err error, newest bool) error {
+	if !newest || followed(b) {
+		return errors.WithSecondaryError(corrupt("%s has a bad record before good ones", name), err)
+	}
+	r.cut = len(b)
+	r.damage = wire.Damage_DAMAGE_BAD
+	if errors.Is(err, errTorn) {
+		r.damage = wire.Damage_DAMAGE_TORN
+	}
+	return nil
+}
+
+// add replays one batch.
+func (r *reader) add(b *wire.Batch) error {
+	i := b.GetIndex()
+	switch t, known := r.log.term(i); {
+	case b.GetReset_():
+		r.log, r.reset = entries{base: i, baseTerm: b.GetTerm()}, i
+	case !r.begun || i < r.log.base:
+		r.log = entries{base: i, baseTerm: b.GetTerm()}
+	case !known || t != b.GetTerm():
+		return corrupt("batch after entry %d of term %d does not join the log", i, b.GetTerm())
+	default:
+		r.log.truncate(i + 1)
+	}
+	r.begun = true
+	for _, e := range b.GetEntries() {
+		if e.GetIndex() != r.log.last()+1 || e.GetTerm() < r.log.lastTerm() {
+			return corrupt("entry %d of term %d is out of order", e.GetIndex(), e.GetTerm())
+		}
+		r.log.append(e)
+	}
+	return nil
+}
+
+// start records the start and the damage before the tail is cut, so that a second
+// start does not take the shortened log for whole.
+func (s *storage) start(r *reader) error {
+	m := proto.Clone(s.meta).(*wire.Meta)
+	m.Starts++
+	m.Damage = max(m.GetDamage(), r.damage)
+	newest := s.segments[len(s.segments)-1].number
+	m.Segment = newest
+	if err := s.writeMeta(m); err != nil {
+		return err
+	}
+	if r.cut > 0 {
+		if err := s.disk.Truncate(segmentName(newest), int64(r.size)); err != nil {
+			return err
+		}
+	}
+	f, err := s.disk.Open(segmentName(newest))
+	s.file, s.size = f, r.size
+	return err
+}
+
+// reconcile joins log and snapshot. A log that does not contain the snapshot's
+// last entry was about to be replaced by it when the instance stopped.
+func (s *storage) reconcile(r *reader, st *stored) error {
+	i, term := st.snapshot.GetIndex(), st.snapshot.GetTerm()
+	if r.log.base > i || r.reset > i {
+		return corrupt("log starts after entry %d, snapshot ends at %d", r.log.base, i)
+	}
+	if r.log.lastTerm() > s.meta.GetTerm() || term > s.meta.GetTerm() {
+		return corrupt("log is of term %d, meta of term %d", max(term, r.log.lastTerm()), s.meta.GetTerm())
+	}
+	st.entries = r.log
+	if t, ok := r.log.term(i); ok && t == term {
+		return nil
+	}
+	st.entries = entries{base: i, baseTerm: term}
+	return s.reset(i, term)
+}
+
+// openSegment creates the segment n and makes it the open one.
+func (s *storage) openSegment(n uint64) error {
+	f, err := s.disk.Open(segmentName(n))
+	if err != nil {
+		return err
+	}
+	if s.file != nil {
+		if err := s.file.Close(); err != nil {
+			return err
+		}
+	}
+	s.file, s.size = f, 0
+	s.segments = append(s.segments, segment{number: n})
+	return nil
+}
+
+// roll starts a new segment and records that it must exist.
+func (s *storage) roll() error {
+	n := s.segments[len(s.segments)-1].number + 1
+	if err := s.openSegment(n); err != nil {
+		return err
+	}
+	m := proto.Clone(s.meta).(*wire.Meta)
+	m.Segment = n
+	return s.writeMeta(m)
+}
+
+// append writes entries after the entry prev of prevTerm and syncs them. Entries
+// already stored after prev are replaced.
+func (s *storage) append(prev, prevTerm uint64, list []*wire.Entry) error {
+	if s.size > segmentBytes {
+		if err := s.roll(); err != nil {
+			return err
+		}
+	}
+	return s.write(&wire.Batch{Index: prev, Term: prevTerm, Entries: list})
+}
+
+func (s *storage) write(b *wire.Batch) error {
+	rec, err := encode(b)
+	if err != nil {
+		return err
+	}
+	if err := s.file.Append(rec); err != nil {
+		return err
+	}
+	if err := s.file.Sync(); err != nil {
+		return err
+	}
+	s.size += len(rec)
+	x := &s.segments[len(s.segments)-1]
+	x.last = max(x.last, b.GetIndex()+uint64(len(b.GetEntries())))
+	return nil
+}
+
+// reset drops the whole log in favour of the snapshot at i.
+func (s *storage) reset(i, term uint64) error {
+	if err := s.roll(); err != nil {
+		return err
+	}
+	if err := s.write(&wire.Batch{Index: i, Term: term, Reset_: true}); err != nil {
+		return err
+	}
+	return s.drop(len(s.segments) - 1)
+}
+
+// drop removes the n oldest segments, oldest first so that no gap can arise.
+func (s *storage) drop(n int) error {
+	for range n {
+		if err := s.disk.Remove(segmentName(s.segments[0].number)); err != nil {
+			return err
+		}
+		s.segments = s.segments[1:]
+	}
+	return nil
+}
+
+// save makes a snapshot durable and removes the one before it.
+func (s *storage) save(x *wire.Snapshot) error {
+	b, err := encode(x)
+	if err != nil {
+		return err
+	}
+	name, old := snapshotName(x.GetIndex()), s.snapshot
+	if err := s.disk.Replace(name, b); err != nil {
+		return err
+	}
+	s.snapshot = name
+	if old == "" || old == name {
+		return nil
+	}
+	err = s.disk.Remove(old)
+	if errors.Is(err, fs.ErrNotExist) {
+		return nil
+	}
+	return err
+}
+
+// compact removes the segments that hold nothing after entry base.
+func (s *storage) compact(base uint64) error {
+	n := 0
+	for n < len(s.segments)-1 && s.segments[n].last <= base {
+		n++
+	}
+	return s.drop(n)
+}
+
+func (s *storage) close() error { return s.file.Close() }
