--- a/Makefile
+++ b/Makefile
@@ -32,7 +32,7 @@
 	PATH=$(CURDIR)/$(BIN):$$PATH $(GO) generate ./internal/wire
 
 demo: build
-	$(BIN)/standin demo --bin $(BIN)
+	bash standin/demo.sh $(BIN)
 
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
--- /dev/null
+++ b/standin/demo.sh
@@ -0,0 +1,173 @@
+#!/usr/bin/env bash
+# Starts a whole system with stand-ins on loopback, runs load of both users' kinds
+# through a fabric that hands each packet to a random balancer, drains one target
+# and lets it join again, and prints one line of counts. Usage: demo.sh BIN [SECONDS]
+set -euo pipefail
+
+bin=$(cd "$1" && pwd)
+seconds=${2:-30}
+name=${NAME:-demo}
+dir=$(mktemp -d)
+pids=()
+
+finish() {
+  status=$?
+  for p in "${pids[@]}"; do kill "$p" 2>/dev/null || true; done
+  for p in "${pids[@]}"; do
+    for _ in $(seq 50); do kill -0 "$p" 2>/dev/null || break; sleep 0.1; done
+    kill -9 "$p" 2>/dev/null || true
+  done
+  if [ "$status" -ne 0 ]; then
+    echo "$name: failed; last lines of the logs:" >&2
+    tail -qn 2 "$dir"/*.log >&2 || true
+  fi
+  if [ -n "${KEEP:-}" ]; then echo "kept $dir"; else rm -rf "$dir"; fi
+  exit "$status"
+}
+trap finish EXIT
+
+# start NAME COMMAND... runs a process in the background with a log of its own.
+start() {
+  local n=$1
+  shift
+  "$@" >"$dir/$n.log" 2>&1 &
+  pids+=($!)
+  eval "pid_${n//-/_}=$!"
+}
+
+wait_for() { # URL
+  for _ in $(seq 100); do
+    if (exec 3<>"/dev/tcp/${1%:*}/${1#*:}") 2>/dev/null; then return 0; fi
+    sleep 0.1
+  done
+  echo "$name: nothing listens on $1" >&2
+  return 1
+}
+
+control=(127.0.0.1:17001 127.0.0.1:17002 127.0.0.1:17003)
+zones_sieste=(port-louis plaisance ebene)
+zones_cnoc=(dublin-1 dublin-2 dublin-3)
+client() { "$bin/mangokeel" --control "$(IFS=,; echo "${control[*]}")" --key "$dir/operator.key" "$@"; }
+
+echo "$name: starting control"
+head -c 24 /dev/urandom | base64 | tr -d '\n' >"$dir/operator.key"
+hash=$(sha256sum <"$dir/operator.key" | cut -d' ' -f1)
+for i in 1 2 3; do
+  mkdir "$dir/control-$i"
+  cat >"$dir/control-$i.yaml" <<YAML
+name: control-$i
+zone: ${zones_sieste[$((i - 1))]}
+address: 127.0.0.1:1700$i
+status: 127.0.0.1:1701$i
+data: $dir/control-$i
+operator: $hash
+members:
+  - {name: control-1, address: 127.0.0.1:17001}
+  - {name: control-2, address: 127.0.0.1:17002}
+  - {name: control-3, address: 127.0.0.1:17003}
+YAML
+  start "control-$i" "$bin/control" --config "$dir/control-$i.yaml"
+done
+for a in "${control[@]}"; do wait_for "$a"; done
+
+# service TEAM NAME PORT ZONES RULES
+service() {
+  cat >"$dir/$1-$2.yaml" <<YAML
+address: 127.0.0.1:$3
+protocol: http
+zones: [$4]
+slots: 2
+connections: 2000
+queue: 32
+wait: 2s
+drain: 8h
+claims: 10m
+rules:
+  - {prefix: /feed, class: normal, stream: true}
+  - {prefix: /download, class: bulk, stream: true}
+  - {method: POST, prefix: /bookings, class: urgent, once: true}
+  - {prefix: /stock, class: urgent}
+YAML
+  for _ in $(seq 50); do
+    client set "/$1/services/$2" --file "$dir/$1-$2.yaml" >"$dir/set.log" 2>&1 && return 0
+    sleep 0.2
+  done
+  cat "$dir/set.log" >&2
+  return 1
+}
+service sieste dispatch 17080 "port-louis, plaisance, ebene"
+service sieste manuals 17081 "port-louis, plaisance, ebene"
+service cnoc orders 17082 "dublin-1, dublin-2, dublin-3"
+service cnoc patterns 17083 "dublin-1, dublin-2, dublin-3"
+
+echo "$name: starting balancers, targets, agents and the fabric"
+"$bin/standin" cert --dir "$dir"
+controls=$(IFS=,; echo "${control[*]}")
+for i in 1 2 3; do
+  cat >"$dir/balancer-$i.yaml" <<YAML
+name: balancer-$i
+zone: ${zones_sieste[$((i - 1))]}
+address: 127.0.0.1$i
+data: 127.0.0.1$i:17100
+status: 127.0.0.1$i:17101
+control: [$controls]
+YAML
+  start "balancer-$i" "$bin/balancer" --config "$dir/balancer-$i.yaml"
+done
+
+ledgers=()
+# host TEAM SERVICE NUMBER PORT ZONE; three ports for each host: agent, target, claims.
+host() {
+  local n="$2-$3"
+  cat >"$dir/$n.yaml" <<YAML
+name: $n
+zone: $5
+service: /$1/services/$2
+address: 127.0.0.1:$4
+target: 127.0.0.1:$(($4 + 5))
+status: 127.0.0.1:$(($4 + 6))
+control: [$controls]
+cert: $dir/cert.pem
+key: $dir/key.pem
+YAML
+  start "target-$n" "$bin/standin" target --listen "127.0.0.1:$(($4 + 5))" --host "$n"
+  start "agent-$n" "$bin/agent" --config "$dir/$n.yaml"
+  ledgers+=(--target "http://127.0.0.1:$(($4 + 5))")
+}
+for i in 1 2 3 4 5 6 7; do host sieste dispatch "$i" $((17200 + 10 * i)) "${zones_sieste[$((i % 3))]}"; done
+for i in 1 2 3; do host sieste manuals "$i" $((17300 + 10 * i)) "${zones_sieste[$((i % 3))]}"; done
+for i in 1 2 3 4 5 6 7; do host cnoc orders "$i" $((17400 + 10 * i)) "${zones_cnoc[$((i % 3))]}"; done
+for i in 1 2 3; do host cnoc patterns "$i" $((17500 + 10 * i)) "${zones_cnoc[$((i % 3))]}"; done
+for p in 17080 17081 17082 17083; do
+  start "fabric-$p" "$bin/standin" fabric --listen "127.0.0.1:$p" \
+    --balancer "127.0.0.11:$p" --balancer "127.0.0.12:$p" --balancer "127.0.0.13:$p"
+done
+for p in 17080 17081 17082 17083; do wait_for "127.0.0.11:$p"; wait_for "127.0.0.13:$p"; done
+sleep 2
+
+echo "$name: load for $seconds s"
+reports=()
+callers=()
+# callers NAME PORT ARGUMENTS...
+callers() {
+  local n=$1 p=$2
+  shift 2
+  "$bin/standin" caller --address "127.0.0.1:$p" --cert "$dir/cert.pem" --duration "${seconds}s" \
+    --seed "${SEED:-1}" --report "$dir/$n.json" "$@" >"$dir/caller-$n.log" 2>&1 &
+  callers+=($!)
+  pids+=($!)
+  reports+=(--report "$dir/$n.json")
+}
+callers dispatch 17080 --feeds 60 --bookers 12 --readers 8
+callers manuals 17081 --downloads 20 --readers 8
+callers orders 17082 --bookers 12 --readers 12
+callers patterns 17083 --downloads 20
+
+sleep $((seconds / 4))
+echo "$name: drain of dispatch-3"
+client drain /sieste/drains/dispatch-3
+sleep $((seconds / 4))
+echo "$name: dispatch-3 joins again"
+client undrain /sieste/drains/dispatch-3
+for p in "${callers[@]}"; do wait "$p"; done
+"$bin/standin" verdict --name "$name" "${reports[@]}" "${ledgers[@]}"
