view: share unchanged services between states

Cause: each update copied all targets and each compiled service scanned all of them; a whole fleet of 4,800 services would have cost 4,800 scans of 38,400 targets. Change: targets are kept by service; an update rebuilds the services it touches.

--- /dev/null
+++ b/internal/view/scale_test.go
@@ -0,0 +1,69 @@
+package view_test
+
+import (
+	"fmt"
+	"runtime"
+	"testing"
+
+	"mangokeel/internal/view"
+	"mangokeel/internal/wire"
+)
+
+// fleet returns the records of a fleet with 8 targets for each service.
+func fleet(services int) *wire.Update {
+	u := &wire.Update{Whole: true, Revision: 1, NextHandle: uint32(services*8 + 1)}
+	h := uint32(1)
+	for i := range services {
+		x := service(1)
+		x.Id, x.Buckets = uint32(i+1), 1024
+		x.Name = fmt.Sprintf("service-%d", i)
+		u.Services = append(u.Services, x)
+		for range 8 {
+			t := target(h, nil)
+			t.Service, t.Host, t.Target = x.GetId(), fmt.Sprintf("host-%d", h), "127.0.0.1:2"
+			u.Targets = append(u.Targets, t)
+			h++
+		}
+	}
+	return u
+}
+
+// BenchmarkWhole gives time and retained bytes of a view for each number of
+// services.
+func BenchmarkWhole(b *testing.B) {
+	for _, n := range []int{600, 1200, 2400, 4800} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			u := fleet(n)
+			var before, after runtime.MemStats
+			runtime.GC()
+			runtime.ReadMemStats(&before)
+			var v *view.View
+			for b.Loop() {
+				v = &view.View{}
+				v.Apply(u)
+			}
+			runtime.GC()
+			runtime.ReadMemStats(&after)
+			b.ReportMetric(float64(after.HeapAlloc-before.HeapAlloc), "B-kept")
+			runtime.KeepAlive(v)
+			runtime.KeepAlive(u)
+		})
+	}
+}
+
+// BenchmarkDelta gives the time to apply a change of one target.
+func BenchmarkDelta(b *testing.B) {
+	for _, n := range []int{600, 4800} {
+		b.Run(fmt.Sprint(n), func(b *testing.B) {
+			var v view.View
+			v.Apply(fleet(n))
+			r := uint64(1)
+			for b.Loop() {
+				r++
+				t := target(5, nil)
+				t.Weight = uint32(r%200 + 1)
+				v.Apply(&wire.Update{Revision: r, Targets: []*wire.Target{t}})
+			}
+		})
+	}
+}
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -12,6 +12,8 @@
 package view
 
 import (
+	"cmp"
+	"maps"
 	"net/netip"
 	"slices"
 	"sync"
@@ -54,7 +56,6 @@
 	// NextHandle is above every handle given out up to Revision.
 	NextHandle mangokeel.Handle
 	services   map[mangokeel.ServiceID]*Service
-	targets    map[mangokeel.Handle]*wire.Target
 	balancers  map[uint32]*wire.Balancer
 }
 
@@ -72,6 +73,8 @@
 	// Targets has all targets of the service by handle, those in availability
 	// zones that are out included.
 	Targets map[mangokeel.Handle]*Target
+	// records are the targets as control sent them.
+	records map[mangokeel.Handle]*wire.Target
 	// holders are the targets that hold buckets, newest handle first.
 	holders []*Target
 }
@@ -112,45 +115,61 @@
 	return Applied
 }
 
-// next returns the state that u leads to.
+// next returns the state that u leads to. Services that u does not touch are
+// shared with s.
 func (s *State) next(u *wire.Update) *State {
 	n := &State{
 		Revision:   mangokeel.Revision(u.GetRevision()),
 		NextHandle: max(s.NextHandle, mangokeel.Handle(u.GetNextHandle())),
 		services:   map[mangokeel.ServiceID]*Service{},
-		targets:    map[mangokeel.Handle]*wire.Target{},
 		balancers:  map[uint32]*wire.Balancer{},
 	}
 	if !u.GetWhole() {
-		copyMap(n.services, s.services)
-		copyMap(n.targets, s.targets)
-		copyMap(n.balancers, s.balancers)
+		maps.Copy(n.services, s.services)
+		maps.Copy(n.balancers, s.balancers)
 	}
-	changed := n.merge(u)
-	for id := range changed {
-		if svc := n.services[id]; svc != nil {
-			n.services[id] = n.compile(svc.Service)
+	for _, b := range u.GetBalancers() {
+		put(n.balancers, b.GetId(), b, b.GetGone())
+	}
+	for id, d := range drafts(n.services, u) {
+		if d.record == nil || d.record.GetGone() {
+			delete(n.services, id)
+			continue
 		}
+		n.services[id] = compile(d.record, d.targets)
 	}
 	return n
 }
 
-// merge stores the update's records and returns the services to compile anew.
-func (s *State) merge(u *wire.Update) map[mangokeel.ServiceID]bool {
-	changed := map[mangokeel.ServiceID]bool{}
-	for _, t := range u.GetTargets() {
-		changed[mangokeel.ServiceID(t.GetService())] = true
-		put(s.targets, mangokeel.Handle(t.GetHandle()), t, t.GetGone())
+// draft is a service whose records change.
+type draft struct {
+	record  *wire.Service
+	targets map[mangokeel.Handle]*wire.Target
+}
+
+// drafts returns the services that u touches with their records after it.
+func drafts(services map[mangokeel.ServiceID]*Service, u *wire.Update) map[mangokeel.ServiceID]*draft {
+	all := map[mangokeel.ServiceID]*draft{}
+	of := func(id uint32) *draft {
+		sid := mangokeel.ServiceID(id)
+		d := all[sid]
+		if d == nil {
+			d = &draft{targets: map[mangokeel.Handle]*wire.Target{}}
+			if old := services[sid]; old != nil {
+				d.record = old.Service
+				maps.Copy(d.targets, old.records)
+			}
+			all[sid] = d
+		}
+		return d
 	}
 	for _, x := range u.GetServices() {
-		id := mangokeel.ServiceID(x.GetId())
-		changed[id] = true
-		put(s.services, id, &Service{Service: x}, x.GetGone())
+		of(x.GetId()).record = x
 	}
-	for _, b := range u.GetBalancers() {
-		put(s.balancers, b.GetId(), b, b.GetGone())
+	for _, t := range u.GetTargets() {
+		put(of(t.GetService()).targets, mangokeel.Handle(t.GetHandle()), t, t.GetGone())
 	}
-	return changed
+	return all
 }
 
 func put[K comparable, V any](m map[K]V, k K, v V, gone bool) {
@@ -161,29 +180,22 @@
 	m[k] = v
 }
 
-func copyMap[K comparable, V any](to, from map[K]V) {
-	for k, v := range from {
-		to[k] = v
-	}
-}
-
 // compile returns the service with its table, targets and keys.
-func (s *State) compile(x *wire.Service) *Service {
+func compile(x *wire.Service, targets map[mangokeel.Handle]*wire.Target) *Service {
 	svc := &Service{
 		Service: x,
 		ID:      mangokeel.ServiceID(x.GetId()),
 		Epoch:   mangokeel.Epoch(x.GetEpoch()),
 		Keys:    keysOf(x),
 		Targets: map[mangokeel.Handle]*Target{},
+		records: targets,
 	}
 	svc.Address, _ = netip.ParseAddrPort(x.GetAddress())
-	for h, t := range s.targets {
-		if t.GetService() == x.GetId() {
-			svc.add(h, t)
-		}
+	for h, t := range targets {
+		svc.add(h, t)
 	}
-	slices.SortFunc(svc.holders, func(a, b *Target) int { return int(int64(b.Handle) - int64(a.Handle)) })
-	svc.Table = bucket.New(Members(x, s.targets), x.GetBuckets())
+	slices.SortFunc(svc.holders, func(a, b *Target) int { return cmp.Compare(b.Handle, a.Handle) })
+	svc.Table = bucket.New(Members(x, targets), x.GetBuckets())
 	return svc
 }
 
@@ -229,7 +241,7 @@
 			m = append(m, bucket.Member{Handle: h, Weight: t.GetWeight()})
 		}
 	}
-	slices.SortFunc(m, func(a, b bucket.Member) int { return int(int64(a.Handle) - int64(b.Handle)) })
+	slices.SortFunc(m, func(a, b bucket.Member) int { return cmp.Compare(a.Handle, b.Handle) })
 	return m
 }
 
