--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -15,10 +15,10 @@
 
 const (
 	heartbeatInterval = 100 * time.Millisecond
-	// electionMin is also how long an instance refuses candidates after it heard
+	// minElection is also how long an instance refuses candidates after it heard
 	// from a leader.
-	electionMin = 500 * time.Millisecond
-	electionMax = 1000 * time.Millisecond
+	minElection = 500 * time.Millisecond
+	maxElection = 1000 * time.Millisecond
 	// retryTimeout is the time after which entries or a snapshot part that were
 	// not answered are sent again.
 	retryTimeout = time.Second
@@ -225,8 +225,8 @@
 }
 
 func (c *core) resetDeadline() {
-	spread := time.Duration(c.rand.Int64N(int64(electionMax - electionMin)))
-	c.deadline = c.now.Add(electionMin + spread)
+	spread := time.Duration(c.rand.Int64N(int64(maxElection - minElection)))
+	c.deadline = c.now.Add(minElection + spread)
 }
 
 // tick must be called at least once per heartbeat interval.
--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -137,7 +137,7 @@
 // Candidates are refused then, without regard to their term, so that an instance
 // that lost contact cannot depose a working leader.
 func (c *core) led() bool {
-	return c.role == leader || !c.heard.IsZero() && c.now.Sub(c.heard) < electionMin
+	return c.role == leader || !c.heard.IsZero() && c.now.Sub(c.heard) < minElection
 }
 
 func (c *core) grant(m *wire.VoteRequest) bool {
--- a/internal/replica/leader.go
+++ b/internal/replica/leader.go
@@ -71,7 +71,7 @@
 	if n := c.ackedByMajority(); n > 0 {
 		last = later(last, c.at(n))
 	}
-	if c.now.Sub(last) > electionMax {
+	if c.now.Sub(last) > maxElection {
 		c.follow(c.term(), "")
 		return
 	}
