roster, control, mangokeel: settings, roster, nodes and operators

Cause: nodes had a follower but nothing to follow, and operators no way to set a service.

control serves join, sync, leave, forward and the operators' calls over any mangokeel.Log. Until the replicated log lands, it runs over Solo, one instance in memory. mangokeel is the operators' client.

--- /dev/null
+++ b/cmd/mangokeel/client.go
@@ -0,0 +1,158 @@
+package main
+
+import (
+	"context"
+	"crypto/rand"
+	"fmt"
+	"io"
+	"net/netip"
+	"os"
+	"strings"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/encoding/protojson"
+	"google.golang.org/protobuf/proto"
+
+	"mangokeel"
+	"mangokeel/internal/jsonrpc"
+	"mangokeel/internal/wire"
+)
+
+const (
+	// tryTimeout bounds one try at one instance. It is above the 5 s in which an
+	// instance gives up on a proposal.
+	tryTimeout = 6 * time.Second
+	// roundPause separates rounds through all instances.
+	roundPause = 200 * time.Millisecond
+)
+
+// options are common to all commands.
+type options struct {
+	Control []string      `short:"c" long:"control" env:"MANGOKEEL_CONTROL" env-delim:"," value-name:"IP:PORT" description:"control instance; repeat it for several"`
+	Key     string        `short:"k" long:"key" env:"MANGOKEEL_KEY" value-name:"KEY" description:"team's key or operators' key"`
+	KeyFile string        `long:"key-file" env:"MANGOKEEL_KEY_FILE" value-name:"FILE" description:"file with the key"`
+	JSON    bool          `long:"json" description:"print JSON"`
+	Timeout time.Duration `long:"timeout" default:"20s" value-name:"DURATION" description:"limit for the whole command"`
+}
+
+// client runs one command.
+type client struct {
+	options
+	ctx context.Context
+	out io.Writer
+}
+
+// key returns the key from the options.
+func (c *client) key() (string, error) {
+	if c.KeyFile == "" {
+		return c.Key, nil
+	}
+	b, err := os.ReadFile(c.KeyFile)
+	return strings.TrimSpace(string(b)), errors.Wrap(err, "read key")
+}
+
+func (c *client) instances() ([]netip.AddrPort, error) {
+	if len(c.Control) == 0 {
+		return nil, errors.New("no control instance is known; use --control or MANGOKEEL_CONTROL")
+	}
+	var out []netip.AddrPort
+	for _, s := range c.Control {
+		a, err := netip.ParseAddrPort(s)
+		if err != nil {
+			return nil, errors.Wrap(err, "--control")
+		}
+		out = append(out, a)
+	}
+	return out, nil
+}
+
+// coded is an answer with a code.
+type coded interface {
+	proto.Message
+	GetCode() wire.Code
+	GetReason() string
+}
+
+// call asks the instances in turn until one answers from current state. Every
+// call is safe to resend: changes carry an id.
+func (c *client) call(method string, req, resp proto.Message, code func() coded) error {
+	instances, err := c.instances()
+	if err != nil {
+		return err
+	}
+	ctx, cancel := context.WithTimeout(c.ctx, c.Timeout)
+	defer cancel()
+	remote := jsonrpc.NewClient()
+	defer remote.Close()
+	var last error
+	for {
+		for _, a := range instances {
+			proto.Reset(resp)
+			if last = c.try(ctx, remote, a, method, req, resp, code); !again(last) {
+				return last
+			}
+		}
+		select {
+		case <-ctx.Done():
+			return last
+		case <-time.After(roundPause):
+		}
+	}
+}
+
+func (c *client) try(ctx context.Context, remote mangokeel.Remote, a netip.AddrPort, method string, req, resp proto.Message, code func() coded) error {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	if err := remote.Call(ctx, a, method, req, resp); err != nil {
+		return err
+	}
+	x := code()
+	if x.GetCode() == wire.Code_CODE_ACCEPTED {
+		return nil
+	}
+	return &outcomeError{x.GetCode(), describe(x)}
+}
+
+// again reports whether another instance may give a better answer.
+func again(err error) bool {
+	if err == nil {
+		return false
+	}
+	var outcome *outcomeError
+	return !errors.As(err, &outcome) || outcome.code == wire.Code_CODE_STALE
+}
+
+func describe(x coded) string {
+	name := strings.ToLower(strings.TrimPrefix(x.GetCode().String(), "CODE_"))
+	var parts []string
+	if o, ok := x.(*wire.Outcome); ok {
+		if o.GetPath() != "" {
+			parts = append(parts, o.GetPath())
+		}
+		if o.GetCode() == wire.Code_CODE_CONFLICT {
+			parts = append(parts, fmt.Sprintf("the subtree is at revision %d", o.GetRevision()))
+		}
+	}
+	if x.GetReason() != "" {
+		parts = append(parts, x.GetReason())
+	}
+	return name + ": " + strings.Join(parts, ": ")
+}
+
+// print writes m as JSON with --json and calls people otherwise.
+func (c *client) print(m proto.Message, people func(w io.Writer)) error {
+	if !c.JSON {
+		people(c.out)
+		return nil
+	}
+	b, err := protojson.MarshalOptions{Multiline: true, EmitUnpopulated: true}.Marshal(m)
+	if err != nil {
+		return errors.Wrap(err, "encode output")
+	}
+	_, err = fmt.Fprintln(c.out, string(b))
+	return err
+}
+
+// changeID returns a random id for a change.
+func changeID() string { return rand.Text() }
--- /dev/null
+++ b/internal/control/control.go
@@ -0,0 +1,210 @@
+// Package control is the control process: it serves nodes and operators from the
+// roster behind the replicated log.
+//
+// Every instance answers reads and long polls from its own copy of the roster
+// while a majority confirmed it recently, and passes proposals and what it heard
+// from nodes to the leader. The leader alone decides on leases and weights:
+//
+//	m := roster.New()
+//	c := control.New(cfg, m, log, remote, timers)
+//	srv, err := jsonrpc.Listen(cfg.Address, c.Methods())
+package control
+
+import (
+	"context"
+	"sync"
+	"time"
+
+	kitlog "github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+
+	"mangokeel"
+	"mangokeel/internal/jsonrpc"
+	"mangokeel/internal/roster"
+	"mangokeel/internal/wire"
+	"mangokeel/pkg/settings"
+)
+
+const (
+	// maxAge is the oldest confirmation by a majority that is served as current.
+	maxAge = 2 * time.Second
+	// maxPoll bounds the long polls of nodes, so that an idle node renews its
+	// lease three times within it.
+	maxPoll = time.Second
+	// maxWatch bounds the long polls of operators.
+	maxWatch = 30 * time.Second
+)
+
+// Control is one instance. Close ends it.
+type Control struct {
+	cfg     *settings.Control
+	machine *roster.Machine
+	log     mangokeel.Log
+	remote  mangokeel.Remote
+	timers  mangokeel.Timers
+	logger  kitlog.Logger
+	metrics *metrics
+	members Members
+
+	queue  *queue
+	heard  *heard
+	leases *leases
+	joins  *pace
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	subs   []mangokeel.Subscription
+	work   sync.WaitGroup
+}
+
+// Members changes the set of control instances.
+type Members interface {
+	// Replace admits the instance new in place of old.
+	Replace(ctx context.Context, old string, member settings.Member) error
+}
+
+// Option changes a Control.
+type Option func(*Control)
+
+// WithLogger sets the logger for changes of state.
+func WithLogger(l kitlog.Logger) Option { return func(c *Control) { c.logger = l } }
+
+// WithRegistry registers the metrics.
+func WithRegistry(r prometheus.Registerer) Option {
+	return func(c *Control) { c.metrics.register(r, c) }
+}
+
+// WithMembers sets what executes the operators' replace call.
+func WithMembers(m Members) Option { return func(c *Control) { c.members = m } }
+
+// New starts an instance over a log that applies to machine. cfg must have been
+// checked.
+func New(cfg *settings.Control, machine *roster.Machine, log mangokeel.Log, remote mangokeel.Remote, timers mangokeel.Timers, opts ...Option) *Control {
+	ctx, cancel := context.WithCancel(context.Background())
+	c := &Control{
+		cfg:     cfg,
+		machine: machine,
+		log:     log,
+		remote:  remote,
+		timers:  timers,
+		logger:  kitlog.NewNopLogger(),
+		metrics: newMetrics(),
+		heard:   newHeard(),
+		leases:  newLeases(),
+		joins:   newPace(joinPace),
+		ctx:     ctx,
+		cancel:  cancel,
+	}
+	for _, o := range opts {
+		o(c)
+	}
+	c.queue = newQueue(c)
+	c.subs = []mangokeel.Subscription{
+		timers.Every(reportPeriod, c.single(c.report)),
+		timers.Every(sweepPeriod, c.single(c.sweep)),
+	}
+	return c
+}
+
+// Close ends all calls and background work.
+func (c *Control) Close() {
+	for _, s := range c.subs {
+		s.Cancel()
+	}
+	c.cancel()
+	c.work.Wait()
+}
+
+// single returns a function that runs fn in a goroutine unless the last run is
+// still going.
+func (c *Control) single(fn func(now time.Time)) func(time.Time) {
+	slot := make(chan struct{}, 1)
+	return func(now time.Time) {
+		select {
+		case slot <- struct{}{}:
+		default:
+			return
+		}
+		c.work.Add(1)
+		go func() {
+			defer c.work.Done()
+			fn(now)
+			<-slot
+		}()
+	}
+}
+
+// Methods returns what the instance answers, besides the log's own methods.
+func (c *Control) Methods() jsonrpc.Methods {
+	return jsonrpc.Methods{
+		"join":    method(c, "join", c.join),
+		"sync":    method(c, "sync", c.sync),
+		"leave":   method(c, "leave", c.leave),
+		"forward": method(c, "forward", c.forward),
+		"get":     method(c, "get", c.get),
+		"set":     method(c, "set", c.set),
+		"diff":    method(c, "diff", c.diff),
+		"history": method(c, "history", c.history),
+		"watch":   method(c, "watch", c.watch),
+		"status":  method(c, "status", c.status),
+		"wait":    method(c, "wait", c.wait),
+		"key":     method(c, "key", c.key),
+		"replace": method(c, "replace", c.replace),
+		"dump":    method(c, "dump", c.dumpCall),
+	}
+}
+
+// message is implemented by pointers to wire messages.
+type message[T any] interface {
+	*T
+	proto.Message
+}
+
+// method wraps a typed handler.
+func method[Q any, P message[Q], R proto.Message](c *Control, name string, fn func(context.Context, P) (R, error)) jsonrpc.Method {
+	return jsonrpc.Method{
+		New: func() proto.Message { return P(new(Q)) },
+		Handle: func(ctx context.Context, req proto.Message) (proto.Message, error) {
+			c.metrics.calls.WithLabelValues(name).Inc()
+			ctx, cancel := context.WithCancel(ctx)
+			defer cancel()
+			defer context.AfterFunc(c.ctx, cancel)()
+			return fn(ctx, req.(P))
+		},
+	}
+}
+
+// current reports whether a majority confirmed this instance's state recently.
+func (c *Control) current() bool { return c.log.Status().Age <= maxAge }
+
+// reach waits until the instance has applied a revision.
+func (c *Control) reach(ctx context.Context, r mangokeel.Revision) error {
+	for {
+		changed := c.machine.Changed()
+		if c.machine.Revision() >= r {
+			return nil
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return ctx.Err()
+		}
+	}
+}
+
+// sleep waits for d. It is false when ctx ended first.
+func (c *Control) sleep(ctx context.Context, d time.Duration) bool {
+	due := make(chan struct{})
+	s := c.timers.After(d, func(time.Time) { close(due) })
+	defer s.Cancel()
+	select {
+	case <-due:
+		return true
+	case <-ctx.Done():
+		return false
+	}
+}
+
+// agentRole is the role of targets in tables keyed by role.
+const agentRole = wire.Role_ROLE_AGENT
--- /dev/null
+++ b/internal/control/operator.go
@@ -0,0 +1,224 @@
+package control
+
+import (
+	"context"
+	"crypto/sha256"
+	"crypto/subtle"
+	"encoding/hex"
+	"encoding/json"
+	"time"
+
+	"mangokeel"
+	"mangokeel/internal/roster"
+	"mangokeel/internal/wire"
+	"mangokeel/pkg/settings"
+)
+
+// waitPause separates the questions to the leader while nodes lag.
+const waitPause = 100 * time.Millisecond
+
+// author returns who a key belongs to. It is false when the key does not open
+// the team's subtree. An empty team is opened by the operators' keys only.
+func (c *Control) author(key, team string) (string, bool) {
+	if key == "" {
+		return "", false
+	}
+	h := sha256.Sum256([]byte(key))
+	for name, want := range c.cfg.Operators {
+		b, _ := hex.DecodeString(want)
+		if subtle.ConstantTimeCompare(b, h[:]) == 1 {
+			return "operator/" + name, true
+		}
+	}
+	if team == "" {
+		return "", false
+	}
+	return c.machine.Author(team, h[:])
+}
+
+// admit checks freshness and the key before a call of an operator. It returns
+// the author, or a code and a reason for the refusal.
+func (c *Control) admit(key, team string) (author string, code wire.Code, reason string) {
+	if !c.current() {
+		c.metrics.stale.Inc()
+		return "", wire.Code_CODE_STALE, "no majority confirmed this instance's state within 2 s"
+	}
+	author, ok := c.author(key, team)
+	if !ok {
+		c.metrics.denied.Inc()
+		return "", wire.Code_CODE_DENIED, "the key does not open this subtree"
+	}
+	return author, wire.Code_CODE_ACCEPTED, ""
+}
+
+func (c *Control) get(_ context.Context, req *wire.GetRequest) (*wire.GetReply, error) {
+	if _, code, reason := c.admit(req.GetKey(), roster.TeamOf(req.GetPath())); reason != "" {
+		return &wire.GetReply{Code: code, Reason: reason}, nil
+	}
+	items, r := c.machine.Get(req.GetPath())
+	return &wire.GetReply{Code: wire.Code_CODE_ACCEPTED, Revision: r, Items: items}, nil
+}
+
+func (c *Control) set(ctx context.Context, req *wire.SetRequest) (*wire.SetReply, error) {
+	x := req.GetChange()
+	author, code, reason := c.admit(req.GetKey(), x.GetTeam())
+	if reason != "" {
+		return &wire.SetReply{Outcome: &wire.Outcome{Code: code, Reason: reason}}, nil
+	}
+	x.Author, x.TimeMs = author, c.timers.Now().UnixMilli()
+	result, err := c.propose(ctx, &wire.Command{Body: &wire.Command_Change{Change: x}})
+	if err != nil {
+		return nil, err
+	}
+	c.metrics.outcomes.WithLabelValues(result.GetOutcome().GetCode().String()).Inc()
+	return &wire.SetReply{Outcome: result.GetOutcome()}, nil
+}
+
+func (c *Control) key(ctx context.Context, req *wire.KeyRequest) (*wire.SetReply, error) {
+	if _, code, reason := c.admit(req.GetKey(), ""); reason != "" {
+		return &wire.SetReply{Outcome: &wire.Outcome{Code: code, Reason: reason}}, nil
+	}
+	result, err := c.propose(ctx, &wire.Command{Body: &wire.Command_Key{Key: req.GetChange()}})
+	if err != nil {
+		return nil, err
+	}
+	return &wire.SetReply{Outcome: result.GetOutcome()}, nil
+}
+
+func (c *Control) history(_ context.Context, req *wire.HistoryRequest) (*wire.HistoryReply, error) {
+	if _, code, reason := c.admit(req.GetKey(), req.GetTeam()); reason != "" {
+		return &wire.HistoryReply{Code: code, Reason: reason}, nil
+	}
+	entries, r, whole := c.machine.History(req.GetTeam(), req.GetAfter())
+	resp := &wire.HistoryReply{Code: wire.Code_CODE_ACCEPTED, Entries: entries, Revision: r}
+	if !whole {
+		resp.Reason = "older changes are no longer kept"
+	}
+	return resp, nil
+}
+
+// watch is history that waits for the first change.
+func (c *Control) watch(ctx context.Context, req *wire.HistoryRequest) (*wire.HistoryReply, error) {
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := c.timers.After(min(time.Duration(req.GetWaitMs())*time.Millisecond, maxWatch), func(time.Time) { cancel() })
+	defer timer.Cancel()
+	for {
+		changed := c.machine.Changed()
+		resp, err := c.history(ctx, req)
+		if err != nil || resp.GetCode() != wire.Code_CODE_ACCEPTED || len(resp.GetEntries()) > 0 {
+			return resp, err
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			return resp, nil
+		}
+	}
+}
+
+// diff compares two revisions of a team's subtree by its history.
+func (c *Control) diff(ctx context.Context, req *wire.HistoryRequest) (*wire.DiffReply, error) {
+	h, err := c.history(ctx, req)
+	if err != nil || h.GetCode() != wire.Code_CODE_ACCEPTED {
+		return &wire.DiffReply{Code: h.GetCode(), Reason: h.GetReason()}, err
+	}
+	if h.GetReason() != "" {
+		return &wire.DiffReply{Code: wire.Code_CODE_INVALID, Reason: h.GetReason()}, nil
+	}
+	return &wire.DiffReply{Code: wire.Code_CODE_ACCEPTED, Edits: roster.Diff(h.GetEntries(), req.GetUntil())}, nil
+}
+
+// leaderNodes asks the leader for its nodes.
+func (c *Control) leaderNodes(ctx context.Context, below uint64) ([]*wire.Node, error) {
+	st := c.log.Status()
+	if st.Leading {
+		return c.nodes(below), nil
+	}
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	resp, err := c.ask(ctx, st, &wire.ForwardRequest{Nodes: true, Below: below})
+	return resp.GetNodes(), err
+}
+
+// status answers also while this instance is not current, with the nodes left out.
+func (c *Control) status(ctx context.Context, req *wire.StatusRequest) (*wire.StatusReply, error) {
+	if _, ok := c.author(req.GetKey(), ""); !ok {
+		return &wire.StatusReply{Code: wire.Code_CODE_DENIED, Reason: "status needs an operators' key"}, nil
+	}
+	st := c.log.Status()
+	resp := &wire.StatusReply{
+		Code: wire.Code_CODE_ACCEPTED, Id: st.ID, Leading: st.Leading, Voter: st.Voter, Term: st.Term,
+		Applied: uint64(st.Applied), Committed: uint64(st.Committed), AgeMs: uint32(st.Age.Milliseconds()),
+	}
+	if st.Leader.IsValid() {
+		resp.Leader = st.Leader.String()
+	}
+	nodes, err := c.leaderNodes(ctx, 0)
+	if err != nil {
+		resp.Reason = "nodes are not known: " + err.Error()
+	}
+	resp.Nodes = nodes
+	return resp, nil
+}
+
+// wait answers once a revision is in force on all nodes, or with those that lag.
+func (c *Control) wait(ctx context.Context, req *wire.WaitRequest) (*wire.WaitReply, error) {
+	if _, code, reason := c.admit(req.GetKey(), ""); reason != "" {
+		return &wire.WaitReply{Code: code, Reason: reason}, nil
+	}
+	ctx, cancel := context.WithCancel(ctx)
+	defer cancel()
+	timer := c.timers.After(min(time.Duration(req.GetWaitMs())*time.Millisecond, maxWatch), func(time.Time) { cancel() })
+	defer timer.Cancel()
+	resp := &wire.WaitReply{Code: wire.Code_CODE_STALE, Reason: "the revision was not reached here"}
+	for c.reach(ctx, mangokeel.Revision(req.GetRevision())) == nil {
+		nodes, err := c.leaderNodes(ctx, req.GetRevision())
+		switch {
+		case err != nil:
+			resp = &wire.WaitReply{Code: wire.Code_CODE_STALE, Reason: err.Error()}
+		case len(nodes) == 0:
+			return &wire.WaitReply{Code: wire.Code_CODE_ACCEPTED, Revision: req.GetRevision()}, nil
+		default:
+			resp = &wire.WaitReply{Code: wire.Code_CODE_ACCEPTED, Revision: req.GetRevision(), Lagging: nodes}
+		}
+		if !c.sleep(ctx, waitPause) {
+			break
+		}
+	}
+	return resp, nil
+}
+
+func (c *Control) replace(ctx context.Context, req *wire.ReplaceRequest) (*wire.ReplaceReply, error) {
+	if _, code, reason := c.admit(req.GetKey(), ""); reason != "" {
+		return &wire.ReplaceReply{Code: code, Reason: reason}, nil
+	}
+	m, err := settings.ParseMember(req.GetNew(), req.GetAddress())
+	if err != nil {
+		return &wire.ReplaceReply{Code: wire.Code_CODE_INVALID, Reason: err.Error()}, nil
+	}
+	if c.members == nil {
+		return &wire.ReplaceReply{Code: wire.Code_CODE_INVALID, Reason: "this instance is the only one"}, nil
+	}
+	if err := c.members.Replace(ctx, req.GetOld(), m); err != nil {
+		return &wire.ReplaceReply{Code: wire.Code_CODE_STALE, Reason: err.Error()}, nil
+	}
+	return &wire.ReplaceReply{Code: wire.Code_CODE_ACCEPTED}, nil
+}
+
+func (c *Control) dumpCall(_ context.Context, req *wire.DumpRequest) (*wire.DumpReply, error) {
+	if _, ok := c.author(req.GetKey(), ""); !ok {
+		return &wire.DumpReply{Code: wire.Code_CODE_DENIED, Reason: "dump needs an operators' key"}, nil
+	}
+	b, err := json.Marshal(c.Dump())
+	return &wire.DumpReply{Code: wire.Code_CODE_ACCEPTED, Json: string(b)}, err
+}
+
+// Dump returns the state of the instance for people, without secrets.
+func (c *Control) Dump() any {
+	return struct {
+		Status mangokeel.LogStatus `json:"status"`
+		Roster any                 `json:"roster"`
+		Nodes  []*wire.Node        `json:"nodes"`
+	}{c.log.Status(), c.machine.Dump(), c.nodes(0)}
+}
--- /dev/null
+++ b/internal/control/propose.go
@@ -0,0 +1,208 @@
+package control
+
+import (
+	"context"
+	"crypto/rand"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"mangokeel"
+	"mangokeel/internal/wire"
+)
+
+const (
+	// tryTimeout bounds one try of a proposal, so that a frozen leader is left.
+	tryTimeout = time.Second
+	// proposeTimeout bounds all tries together: an election and two tries.
+	proposeTimeout = 5 * time.Second
+	// retryPause separates tries while there is no leader.
+	retryPause = 50 * time.Millisecond
+	// seedLen is the length of a command's seed in bytes.
+	seedLen = 32
+)
+
+// propose gets a command accepted through the leader and waits until it is
+// applied here. It tries again after any failure, because every command is safe
+// to resend: changes and keys by their ids, joins by their incarnations, rehomes
+// by their epochs, and the others because handles are never reused.
+func (c *Control) propose(ctx context.Context, cmd *wire.Command) (*wire.Result, error) {
+	cmd.Seed = make([]byte, seedLen)
+	// Read of crypto/rand never fails.
+	_, _ = rand.Read(cmd.Seed)
+	b, err := proto.Marshal(cmd)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode command")
+	}
+	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
+	defer cancel()
+	for {
+		raw, r, err := c.try(ctx, b)
+		if err == nil {
+			return c.result(ctx, raw, r)
+		}
+		c.metrics.retries.Inc()
+		if !c.sleep(ctx, retryPause) {
+			return nil, errors.Wrap(err, "proposal")
+		}
+	}
+}
+
+func (c *Control) result(ctx context.Context, raw []byte, r mangokeel.Revision) (*wire.Result, error) {
+	var result wire.Result
+	if err := proto.Unmarshal(raw, &result); err != nil {
+		return nil, errors.Wrap(err, "decode result")
+	}
+	return &result, c.reach(ctx, r)
+}
+
+// try proposes once, here or at the leader.
+func (c *Control) try(ctx context.Context, b []byte) ([]byte, mangokeel.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	st := c.log.Status()
+	if st.Leading {
+		return c.log.Propose(ctx, b)
+	}
+	resp, err := c.ask(ctx, st, &wire.ForwardRequest{Command: b})
+	if err != nil {
+		return nil, 0, err
+	}
+	return resp.GetResult(), mangokeel.Revision(resp.GetRevision()), nil
+}
+
+// ask forwards a request to the leader.
+func (c *Control) ask(ctx context.Context, st mangokeel.LogStatus, req *wire.ForwardRequest) (*wire.ForwardReply, error) {
+	if !st.Leader.IsValid() || st.Leader == c.cfg.Address {
+		return nil, mangokeel.ErrNotLeader
+	}
+	req.From = c.cfg.Name
+	var resp wire.ForwardReply
+	if err := c.remote.Call(ctx, st.Leader, "forward", req, &resp); err != nil {
+		return nil, err
+	}
+	if !resp.GetLeader() {
+		return nil, mangokeel.ErrNotLeader
+	}
+	return &resp, nil
+}
+
+// forward answers other instances. Only a leader does what is asked.
+func (c *Control) forward(ctx context.Context, req *wire.ForwardRequest) (*wire.ForwardReply, error) {
+	if !c.log.Status().Leading {
+		return &wire.ForwardReply{}, nil
+	}
+	resp := &wire.ForwardReply{Leader: true}
+	c.leases.hear(c.timers.Now(), req.GetBeats())
+	if req.GetNodes() {
+		resp.Nodes = c.nodes(req.GetBelow())
+	}
+	if len(req.GetCommand()) == 0 {
+		return resp, nil
+	}
+	result, r, err := c.log.Propose(ctx, req.GetCommand())
+	if errors.Is(err, mangokeel.ErrNotLeader) {
+		return &wire.ForwardReply{}, nil
+	}
+	resp.Result, resp.Revision = result, uint64(r)
+	return resp, err
+}
+
+const (
+	// gather is how long the queue collects commands for one batch.
+	gather = 20 * time.Millisecond
+	// maxBatch bounds the commands of one batch, and so its time to apply.
+	maxBatch = 512
+)
+
+// queue collects the commands of nodes into batches, one at a time, so that many
+// nodes that come and go at once cost few log entries.
+type queue struct {
+	c  *Control
+	mu sync.Mutex
+	// waiting are the commands of the next batches.
+	waiting []*queued
+	wake    chan struct{}
+}
+
+type queued struct {
+	cmd    *wire.Command
+	result *wire.Result
+	err    error
+	done   chan struct{}
+}
+
+func newQueue(c *Control) *queue {
+	q := &queue{c: c, wake: make(chan struct{}, 1)}
+	c.work.Add(1)
+	go func() {
+		defer c.work.Done()
+		for {
+			select {
+			case <-c.ctx.Done():
+				return
+			case <-q.wake:
+				q.flush()
+			}
+		}
+	}()
+	return q
+}
+
+// do gets one command accepted as part of a batch.
+func (q *queue) do(ctx context.Context, cmd *wire.Command) (*wire.Result, error) {
+	x := &queued{cmd: cmd, done: make(chan struct{})}
+	q.mu.Lock()
+	q.waiting = append(q.waiting, x)
+	q.mu.Unlock()
+	q.signal()
+	select {
+	case <-x.done:
+		return x.result, x.err
+	case <-ctx.Done():
+		return nil, ctx.Err()
+	}
+}
+
+func (q *queue) signal() {
+	select {
+	case q.wake <- struct{}{}:
+	default:
+	}
+}
+
+// flush proposes one batch.
+func (q *queue) flush() {
+	if !q.c.sleep(q.c.ctx, gather) {
+		return
+	}
+	q.mu.Lock()
+	n := min(len(q.waiting), maxBatch)
+	batch := q.waiting[:n]
+	q.waiting = q.waiting[n:]
+	more := len(q.waiting) > 0
+	q.mu.Unlock()
+	if more {
+		q.signal()
+	}
+	if n > 0 {
+		q.run(batch)
+	}
+}
+
+func (q *queue) run(batch []*queued) {
+	body := &wire.Batch{}
+	for _, x := range batch {
+		body.Commands = append(body.Commands, x.cmd)
+	}
+	result, err := q.c.propose(q.c.ctx, &wire.Command{Body: &wire.Command_Batch{Batch: body}})
+	for i, x := range batch {
+		x.err = err
+		if err == nil {
+			x.result = result.GetBatch()[i]
+		}
+		close(x.done)
+	}
+}
--- /dev/null
+++ b/internal/roster/roster_test.go
@@ -0,0 +1,124 @@
+package roster_test
+
+import (
+	"fmt"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"mangokeel"
+	"mangokeel/internal/roster"
+	"mangokeel/internal/wire"
+)
+
+// driver applies commands at rising revisions.
+type driver struct {
+	*roster.Machine
+	revision mangokeel.Revision
+}
+
+func newDriver() *driver { return &driver{Machine: roster.New()} }
+
+func (d *driver) apply(cmd *wire.Command) *wire.Result {
+	d.revision++
+	cmd.Seed = fmt.Appendf(nil, "seed %d", d.revision)
+	b, err := proto.Marshal(cmd)
+	if err != nil {
+		panic(err)
+	}
+	var result wire.Result
+	if err := proto.Unmarshal(d.Apply(d.revision, b), &result); err != nil {
+		panic(err)
+	}
+	return &result
+}
+
+// set proposes a change. items alternates paths and values.
+func (d *driver) set(id, team string, base uint64, items ...string) *wire.Outcome {
+	c := &wire.Change{Id: id, Team: team, Base: base}
+	for i := 0; i < len(items); i += 2 {
+		c.Items = append(c.Items, &wire.Item{Path: items[i], Value: items[i+1]})
+	}
+	return d.apply(&wire.Command{Body: &wire.Command_Change{Change: c}}).GetOutcome()
+}
+
+// force sets at the present base under a fresh id.
+func (d *driver) force(team string, items ...string) *wire.Outcome {
+	_, base := d.Get("/" + team)
+	return d.set(fmt.Sprint("force ", d.revision), team, base, items...)
+}
+
+func (d *driver) join(host, zone, agent, target, incarnation string) *wire.JoinReply {
+	return d.apply(&wire.Command{Body: &wire.Command_Join{Join: &wire.JoinRequest{
+		Role: wire.Role_ROLE_AGENT, Incarnation: []byte(incarnation), Zone: zone, Service: dispatch, Host: host, Agent: agent, Target: target,
+	}}}).GetJoin()
+}
+
+// enter adds host number i in a zone and returns its handle.
+func (d *driver) enter(i int, zone string) uint32 {
+	return d.join(fmt.Sprint("host", i), zone, fmt.Sprintf("127.0.0.1:%d", 1000+i), fmt.Sprintf("127.0.0.1:%d", 2000+i), fmt.Sprint(i, d.revision)).GetId()
+}
+
+const (
+	dispatch = "/sieste/services/dispatch"
+	document = "address: 127.0.0.1:8443\nprotocol: http\nzones: [port-louis, plaisance, ebene]\n"
+)
+
+// Guards against two operators who both change the same revision, and against a
+// resent change that runs twice, also after a restore from a snapshot.
+func TestChangeOnce(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver()
+	first := d.set("a", "sieste", 0, dispatch, document)
+	c.Assert(first.GetCode(), qt.Equals, wire.Code_CODE_ACCEPTED)
+	other := d.set("b", "sieste", 0, dispatch, document)
+	c.Assert(other.GetCode(), qt.Equals, wire.Code_CODE_CONFLICT)
+	c.Assert(other.GetRevision(), qt.Equals, first.GetRevision())
+
+	b, err := d.Snapshot()
+	c.Assert(err, qt.IsNil)
+	c.Assert(d.Restore(d.revision, b), qt.IsNil)
+	c.Assert(d.set("a", "sieste", 0, dispatch, document).GetRevision(), qt.Equals, first.GetRevision())
+	c.Assert(d.set("b", "sieste", first.GetRevision(), dispatch, document).GetCode(), qt.Equals, wire.Code_CODE_CONFLICT)
+	_, revision := d.Get("/sieste")
+	c.Assert(revision, qt.Equals, first.GetRevision())
+}
+
+// Guards against a change that is accepted in part.
+func TestInvalidIsRefusedWhole(t *testing.T) {
+	c := qt.New(t)
+	for _, x := range []struct {
+		path, value, want string
+		code              wire.Code
+	}{
+		{"/sieste/services/manuals", document, "address: 127.0.0.1:8443 is the address of " + dispatch, wire.Code_CODE_INVALID},
+		{"/sieste/services/manuals", "adress: 127.0.0.1:1\n", "(?s).*adress.*", wire.Code_CODE_INVALID},
+		{"/sieste/zones/ebene", "state: gone\n", ".*state.*", wire.Code_CODE_INVALID},
+		{"/sieste/other/x", "a: b\n", "not a path.*", wire.Code_CODE_INVALID},
+		{"/cnoc/services/desk", "address: 127.0.0.1:1\n", "outside.*", wire.Code_CODE_DENIED},
+	} {
+		d := newDriver()
+		o := d.set("a", "sieste", 0, dispatch, document, x.path, x.value)
+		c.Assert(o.GetCode(), qt.Equals, x.code)
+		c.Assert(o.GetReason(), qt.Matches, x.want)
+		items, revision := d.Get("/sieste")
+		c.Assert(items, qt.HasLen, 0)
+		c.Assert(revision, qt.Equals, uint64(0))
+	}
+}
+
+// Guards against two agents that serve one target, and against a restarted agent
+// that keeps the floors of its old handle.
+func TestTwoAgentsOneTarget(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver()
+	d.force("sieste", dispatch, document)
+	first := d.join("h", "ebene", "127.0.0.1:1", "127.0.0.1:9", "i1")
+	c.Assert(first.GetCode(), qt.Equals, wire.Code_CODE_ACCEPTED)
+	c.Assert(d.join("h", "ebene", "127.0.0.1:2", "127.0.0.1:9", "i2").GetCode(), qt.Equals, wire.Code_CODE_CONFLICT)
+	c.Assert(d.join("h", "ebene", "127.0.0.1:1", "127.0.0.1:9", "i1").GetId(), qt.Equals, first.GetId())
+	again := d.join("h", "ebene", "127.0.0.1:1", "127.0.0.1:9", "i3")
+	c.Assert(again.GetId() > first.GetId(), qt.IsTrue)
+	c.Assert(d.Target(mangokeel.Handle(first.GetId())), qt.IsNil)
+}
--- /dev/null
+++ b/internal/roster/service.go
@@ -0,0 +1,192 @@
+package roster
+
+import (
+	"slices"
+
+	"mangokeel"
+	"mangokeel/internal/bucket"
+	"mangokeel/internal/cid"
+	"mangokeel/internal/view"
+	"mangokeel/internal/wire"
+	"mangokeel/pkg/settings"
+)
+
+const (
+	// buckets is fixed for the life of a service, because nodes index flows by it.
+	buckets = 4096
+	// resetLen is the length of a stateless reset key in bytes.
+	resetLen = 32
+)
+
+// service is one live service.
+type service struct {
+	record  *wire.Service
+	targets map[mangokeel.Handle]*wire.Target
+	// table is always the one computed from record and targets after a step.
+	table bucket.Table
+	// journal has the records that agents of the service need.
+	journal *journal
+}
+
+// create adds a service for a path.
+func (s *step) create(team, name, path string) *service {
+	id := s.m.nextService
+	s.m.nextService++
+	svc := &service{
+		record: &wire.Service{
+			Id: id, Team: team, Name: name, Buckets: buckets, Epoch: s.revision, Revision: s.revision,
+			Secrets: []*wire.Secret{{Number: 1, Key: s.derive("connection id", id, cid.KeyLen)}},
+			Reset_:  s.derive("stateless reset", id, resetLen),
+			Home:    &wire.Home{},
+		},
+		targets: map[mangokeel.Handle]*wire.Target{},
+		table:   bucket.New(nil, buckets),
+		journal: &journal{tombs: maxServiceTombs},
+	}
+	s.services[id] = svc.record
+	s.m.services[id] = svc
+	s.m.index.paths[path] = id
+	return svc
+}
+
+// remove ends a service and all its targets.
+func (s *step) remove(svc *service, path string) {
+	for h := range svc.targets {
+		s.drop(h)
+	}
+	id := svc.record.GetId()
+	delete(s.m.services, id)
+	delete(s.m.index.paths, path)
+	if a := svc.record.GetAddress(); s.m.index.addresses[a] == id {
+		delete(s.m.index.addresses, a)
+	}
+	s.services[id] = &wire.Service{Id: id, Revision: s.revision, Gone: true}
+}
+
+// configure brings the record in line with its settings document.
+func (s *step) configure(svc *service, x *settings.Service) {
+	r := s.service(svc)
+	if old := r.GetAddress(); s.m.index.addresses[old] == r.GetId() {
+		delete(s.m.index.addresses, old)
+	}
+	r.Address = x.Address.String()
+	s.m.index.addresses[r.Address] = r.GetId()
+	r.Protocol = protocolOf(x.Protocol)
+	r.Slots, r.Connections, r.Queue = uint32(x.Slots), uint32(x.Connections), uint32(x.Queue)
+	r.WaitMs, r.DrainMs, r.ClaimMs = millis(x.Wait), millis(x.Drain), millis(x.Claims)
+	r.Rules = rulesOf(x.Rules)
+}
+
+// rezone sets the availability zones in service. Targets of a zone that leaves
+// hold nothing any more. Registrations of a zone that returns end: an agent that
+// missed the absence would otherwise continue flows whose callers were told that
+// they had ended. The agents join again under new handles.
+func (s *step) rezone(svc *service, zones []string) {
+	old := svc.record.GetZones()
+	if slices.Equal(old, zones) {
+		return
+	}
+	id := svc.record.GetId()
+	s.service(svc).Zones = zones
+	s.moved[id], s.chained[id] = true, true
+	for h, t := range svc.targets {
+		was, is := slices.Contains(old, t.GetZone()), slices.Contains(zones, t.GetZone())
+		switch {
+		case !was && is:
+			s.drop(h)
+		case was && !is && len(t.GetHeld()) > 0:
+			s.target(h).Held = nil
+		}
+	}
+}
+
+// retable recomputes the owners and marks where flows may remain.
+func (s *step) retable(svc *service) {
+	next := bucket.New(view.Members(svc.record, svc.targets), svc.record.GetBuckets())
+	moved := false
+	for b := range svc.record.GetBuckets() {
+		was, _ := svc.table.Owner(b)
+		is, _ := next.Owner(b)
+		if was == is {
+			continue
+		}
+		moved = true
+		s.hold(svc, was, b)
+		s.own(svc, is, b)
+	}
+	if moved {
+		svc.table = next
+		s.chained[svc.record.GetId()] = true
+	}
+}
+
+// hold notes that h may hold flows of a bucket that it no longer owns.
+func (s *step) hold(svc *service, h mangokeel.Handle, b uint32) {
+	t := svc.targets[h]
+	if t == nil || !slices.Contains(svc.record.GetZones(), t.GetZone()) {
+		return
+	}
+	t = s.target(h)
+	t.Held = bucket.Bitmap(t.GetHeld()).With(b)
+	t.HeldEpoch = s.revision
+}
+
+// own clears the mark of a bucket for its owner.
+func (s *step) own(svc *service, h mangokeel.Handle, b uint32) {
+	if t := svc.targets[h]; t != nil && bucket.Bitmap(t.GetHeld()).Has(b) {
+		t = s.target(h)
+		t.Held = bucket.Bitmap(t.GetHeld()).Without(b)
+	}
+}
+
+// rehome moves the claim home one step: from stable to joint with next, or from
+// joint to the next home alone. The first home needs no joint step.
+func (s *step) rehome(x *wire.Rehome) *wire.Outcome {
+	svc := s.m.services[x.GetService()]
+	if svc == nil {
+		return refused(wire.Code_CODE_UNKNOWN, "", "no such service")
+	}
+	home := svc.record.GetHome()
+	joint := len(home.GetNext()) > 0
+	if home.GetEpoch() != x.GetEpoch() || joint != x.GetDone() {
+		return &wire.Outcome{Code: wire.Code_CODE_CONFLICT, Revision: home.GetEpoch()}
+	}
+	next := &wire.Home{Epoch: s.revision}
+	switch {
+	case x.GetDone():
+		next.Now = home.GetNext()
+	case len(home.GetNow()) == 0:
+		next.Now = x.GetNext()
+	default:
+		next.Now, next.Next = home.GetNow(), x.GetNext()
+	}
+	s.service(svc).Home = next
+	return accepted(s.revision)
+}
+
+func protocolOf(name string) wire.Protocol {
+	if name == "udp" {
+		return wire.Protocol_PROTOCOL_UDP
+	}
+	return wire.Protocol_PROTOCOL_HTTP
+}
+
+func rulesOf(rules []settings.Rule) []*wire.Rule {
+	var out []*wire.Rule
+	for _, r := range rules {
+		out = append(out, &wire.Rule{Method: r.Method, Prefix: r.Prefix, Class: classOf(r.Class), Once: r.Once, Stream: r.Stream})
+	}
+	return out
+}
+
+func classOf(name string) wire.Class {
+	switch name {
+	case "urgent":
+		return wire.Class_CLASS_URGENT
+	case "bulk":
+		return wire.Class_CLASS_BULK
+	}
+	return wire.Class_CLASS_NORMAL
+}
+
+func millis(d settings.Duration) uint32 { return uint32(d.Value().Milliseconds()) }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -11,6 +11,8 @@
 
 import (
 	"bytes"
+	"crypto/sha256"
+	"encoding/hex"
 	"net/netip"
 	"os"
 	"time"
@@ -48,6 +50,9 @@
 // Duration is a time.Duration written as in "500ms" or "8h".
 type Duration time.Duration
 
+// Value returns d as a time.Duration.
+func (d Duration) Value() time.Duration { return time.Duration(d) }
+
 // UnmarshalYAML implements yaml.Unmarshaler.
 func (d *Duration) UnmarshalYAML(n *yaml.Node) error {
 	v, err := time.ParseDuration(n.Value)
@@ -74,6 +79,9 @@
 	Data string `yaml:"data"`
 	// Members are the instances of the first start, this one included.
 	Members []Member `yaml:"members"`
+	// Operators maps the names of the operators' keys to the SHA-256 hashes of
+	// their values in hexadecimal. These keys open all subtrees.
+	Operators map[string]string `yaml:"operators"`
 }
 
 // Member is one control instance.
@@ -94,6 +102,11 @@
 	case s.Data == "":
 		return missing("data")
 	}
+	for name, h := range s.Operators {
+		if b, err := hex.DecodeString(h); err != nil || len(b) != sha256.Size {
+			return errors.Newf("operators: %s: not a SHA-256 hash of 64 hexadecimal digits", name)
+		}
+	}
 	return nil
 }
 
@@ -214,3 +227,40 @@
 }
 
 func missing(key string) error { return errors.Newf("%s: missing", key) }
+
+// Zone is the document at /TEAM/zones/NAME.
+type Zone struct {
+	// State is "in" or "out".
+	State string `yaml:"state"`
+	// Reason is free text for the history.
+	Reason string `yaml:"reason"`
+}
+
+// Check implements Checker.
+func (s *Zone) Check() error {
+	if s.State != "in" && s.State != "out" {
+		return errors.Newf("state: %q is not in or out", s.State)
+	}
+	return nil
+}
+
+// Drain is the document at /TEAM/drains/HOST.
+type Drain struct {
+	// Reason is free text for the history.
+	Reason string `yaml:"reason"`
+}
+
+// Check implements Checker.
+func (*Drain) Check() error { return nil }
+
+// ParseMember checks the name and address of a control instance.
+func ParseMember(name, address string) (Member, error) {
+	a, err := netip.ParseAddrPort(address)
+	if err != nil {
+		return Member{}, errors.Wrap(err, "address")
+	}
+	if name == "" {
+		return Member{}, missing("name")
+	}
+	return Member{Name: name, Address: a}, nil
+}
