process: exit with 0 after a signal

Cause: the check for run.SignalError by type never matched, because run returns a pointer, so a daemon stopped by SIGTERM logged an error and exited with 1. Change: compare with run.ErrSignal, as that package advises.

Result: SIGTERM to cmd/control gave exit code 1 before and gives 0 now.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -93,7 +93,7 @@
 	p.Group.Add(run.SignalHandler(context.Background(), syscall.SIGINT, syscall.SIGTERM))
 	_ = level.Info(p.Log).Log("msg", "started")
 	err := p.Group.Run()
-	if errors.HasType(err, run.SignalError{}) || err == nil {
+	if errors.Is(err, run.ErrSignal) || err == nil {
 		_ = level.Info(p.Log).Log("msg", "stopped")
 		return ExitOK
 	}
