mangokeel: key files and paths as the demonstration uses them

Cause: the demonstration passes the operators' key as a file, control instances as one list, and drains as paths; the client took other forms.

--- a/cmd/mangokeel/client.go
+++ b/cmd/mangokeel/client.go
@@ -29,9 +29,8 @@
 
 // options are common to all commands.
 type options struct {
-	Control []string      `short:"c" long:"control" env:"MANGOKEEL_CONTROL" env-delim:"," value-name:"IP:PORT" description:"control instance; repeat it for several"`
-	Key     string        `short:"k" long:"key" env:"MANGOKEEL_KEY" value-name:"KEY" description:"team's key or operators' key"`
-	KeyFile string        `long:"key-file" env:"MANGOKEEL_KEY_FILE" value-name:"FILE" description:"file with the key"`
+	Control string        `short:"c" long:"control" env:"MANGOKEEL_CONTROL" value-name:"IP:PORT,..." description:"control instances"`
+	Key     string        `short:"k" long:"key" env:"MANGOKEEL_KEY" value-name:"FILE" description:"file with a team's key or the operators' key"`
 	JSON    bool          `long:"json" description:"print JSON"`
 	Timeout time.Duration `long:"timeout" default:"20s" value-name:"DURATION" description:"limit for the whole command"`
 }
@@ -45,20 +44,20 @@
 
 // key returns the key from the options.
 func (c *client) key() (string, error) {
-	if c.KeyFile == "" {
-		return c.Key, nil
+	if c.Key == "" {
+		return "", errors.New("no key is known; use --key or MANGOKEEL_KEY")
 	}
-	b, err := os.ReadFile(c.KeyFile)
+	b, err := os.ReadFile(c.Key)
 	return strings.TrimSpace(string(b)), errors.Wrap(err, "read key")
 }
 
 func (c *client) instances() ([]netip.AddrPort, error) {
-	if len(c.Control) == 0 {
+	if c.Control == "" {
 		return nil, errors.New("no control instance is known; use --control or MANGOKEEL_CONTROL")
 	}
 	var out []netip.AddrPort
-	for _, s := range c.Control {
-		a, err := netip.ParseAddrPort(s)
+	for s := range strings.SplitSeq(c.Control, ",") {
+		a, err := netip.ParseAddrPort(strings.TrimSpace(s))
 		if err != nil {
 			return nil, errors.Wrap(err, "--control")
 		}
--- a/cmd/mangokeel/commands.go
+++ b/cmd/mangokeel/commands.go
@@ -42,7 +42,7 @@
 func (c *client) commands() []command {
 	return []command{
 		{"get", "print documents", "Prints the documents at and below a path.", &getCommand{c: c}},
-		{"set", "change documents in one step", "Sets one or several documents of one team in one step.\n\nAn item is PATH=@FILE, PATH=YAML, or PATH= to delete the document.", &setCommand{c: c}},
+		{"set", "change documents in one step", "Sets one or several documents of one team in one step.\n\nAn item is PATH=@FILE, PATH=YAML, PATH= to delete the document, or one PATH with --file. Without any item, --file maps paths to documents.", &setCommand{c: c}},
 		{"diff", "compare two revisions", "Prints the paths of a team that differ between two revisions.", &diffCommand{c: c}},
 		{"history", "list accepted changes", "Lists the accepted changes of a team.", &historyCommand{c: c}},
 		{"watch", "follow accepted changes", "Prints the accepted changes of a team as they happen, until interrupted.", &watchCommand{c: c}},
@@ -93,10 +93,10 @@
 	c    *client
 	Base *uint64 `short:"b" long:"base" value-name:"REVISION" description:"revision that the change was made from; default: the present one"`
 	ID   string  `long:"id" value-name:"ID" description:"id of the change, to resend it after a lost answer; default: random"`
-	File string  `short:"f" long:"file" value-name:"FILE" description:"YAML file that maps paths to documents"`
+	File string  `short:"f" long:"file" value-name:"FILE" description:"document of the PATH, or without any PATH a map from paths to documents"`
 	Wait bool    `short:"w" long:"wait" description:"wait until the change is in force on all nodes (operators' keys only)"`
 	Args struct {
-		Items []string `positional-arg-name:"PATH=@FILE|PATH=YAML"`
+		Items []string `positional-arg-name:"PATH[=@FILE|=YAML]"`
 	} `positional-args:"yes"`
 }
 
@@ -124,11 +124,17 @@
 }
 
 func (x *setCommand) items() ([]*wire.Item, error) {
-	items, err := itemsOf(x.File)
-	if err != nil {
-		return nil, err
+	args := x.Args.Items
+	switch {
+	case x.File != "" && len(args) == 1 && !strings.Contains(args[0], "="):
+		args = []string{args[0] + "=@" + x.File}
+	case x.File != "" && len(args) == 0:
+		return itemsOf(x.File)
+	case x.File != "" || len(args) == 0:
+		return nil, &flags.Error{Type: flags.ErrRequired, Message: "set: needs one PATH with --file, or items"}
 	}
-	for _, s := range x.Args.Items {
+	var items []*wire.Item
+	for _, s := range args {
 		path, value, ok := strings.Cut(s, "=")
 		if !ok {
 			return nil, &flags.Error{Type: flags.ErrMarshal, Message: s + ": not PATH=@FILE or PATH=YAML"}
@@ -142,17 +148,11 @@
 		}
 		items = append(items, &wire.Item{Path: path, Value: value})
 	}
-	if len(items) == 0 {
-		return nil, &flags.Error{Type: flags.ErrRequired, Message: "nothing to set"}
-	}
 	return items, nil
 }
 
 // itemsOf reads a file that maps paths to documents.
 func itemsOf(file string) ([]*wire.Item, error) {
-	if file == "" {
-		return nil, nil
-	}
 	b, err := os.ReadFile(file)
 	if err != nil {
 		return nil, errors.Wrap(err, "read documents")
@@ -161,7 +161,7 @@
 	if err := yaml.Unmarshal(b, &root); err != nil {
 		return nil, errors.Wrap(err, file)
 	}
-	if len(root.Content) != 1 || root.Content[0].Kind != yaml.MappingNode {
+	if len(root.Content) != 1 || root.Content[0].Kind != yaml.MappingNode || len(root.Content[0].Content) == 0 {
 		return nil, errors.Newf("%s: not a map from paths to documents", file)
 	}
 	var items []*wire.Item
@@ -357,15 +357,14 @@
 	c    *client
 	Args struct {
 		Action string `positional-arg-name:"out|back"`
-		Team   string `positional-arg-name:"TEAM"`
-		Zone   string `positional-arg-name:"ZONE"`
+		Path   string `positional-arg-name:"/TEAM/zones/ZONE"`
 	} `positional-args:"yes" required:"yes"`
 	Reason string `long:"reason" value-name:"TEXT" description:"reason for the history"`
 }
 
 // Execute implements flags.Commander.
 func (x *zoneCommand) Execute([]string) error {
-	item := &wire.Item{Path: "/" + x.Args.Team + "/zones/" + x.Args.Zone}
+	item := &wire.Item{Path: x.Args.Path}
 	switch x.Args.Action {
 	case "out":
 		item.Value = "state: out\n" + reasonLine(x.Reason)
@@ -374,7 +373,7 @@
 	default:
 		return &flags.Error{Type: flags.ErrInvalidChoice, Message: "zone: " + x.Args.Action + " is not out or back"}
 	}
-	return x.c.force(x.Args.Team, item)
+	return x.c.force("zones", item)
 }
 
 func reasonLine(reason string) string {
@@ -388,27 +387,30 @@
 	c    *client
 	end  bool
 	Args struct {
-		Team string `positional-arg-name:"TEAM"`
-		Host string `positional-arg-name:"HOST"`
+		Path string `positional-arg-name:"/TEAM/drains/HOST"`
 	} `positional-args:"yes" required:"yes"`
 	Reason string `long:"reason" value-name:"TEXT" description:"reason for the history"`
 }
 
 // Execute implements flags.Commander.
 func (x *drainCommand) Execute([]string) error {
-	item := &wire.Item{Path: "/" + x.Args.Team + "/drains/" + x.Args.Host}
+	item := &wire.Item{Path: x.Args.Path}
 	if !x.end {
 		item.Value = fmt.Sprintf("reason: %q\n", x.Reason)
 	}
-	return x.c.force(x.Args.Team, item)
+	return x.c.force("drains", item)
 }
 
 // maxForce bounds the tries of a change that does not depend on the others.
 const maxForce = 10
 
-// force sets one document whatever the subtree's revision. A conflict means that
-// nothing was changed, so the next try is a new change.
-func (c *client) force(team string, item *wire.Item) error {
+// force sets one document of a kind whatever the subtree's revision. A conflict
+// means that nothing was changed, so the next try is a new change.
+func (c *client) force(kind string, item *wire.Item) error {
+	team, found, _, ok := roster.SplitPath(item.GetPath())
+	if !ok || found != kind {
+		return &flags.Error{Type: flags.ErrMarshal, Message: item.GetPath() + ": not a path such as /TEAM/" + kind + "/NAME"}
+	}
 	var err error
 	for range maxForce {
 		var now *wire.GetReply
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -24,11 +24,8 @@
 		return "", false
 	}
 	h := sha256.Sum256([]byte(key))
-	for name, want := range c.cfg.Operators {
-		b, _ := hex.DecodeString(want)
-		if subtle.ConstantTimeCompare(b, h[:]) == 1 {
-			return "operator/" + name, true
-		}
+	if want, _ := hex.DecodeString(c.cfg.Operator); subtle.ConstantTimeCompare(want, h[:]) == 1 {
+		return "operator", true
 	}
 	if team == "" {
 		return "", false
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -79,9 +79,9 @@
 	Data string `yaml:"data"`
 	// Members are the instances of the first start, this one included.
 	Members []Member `yaml:"members"`
-	// Operators maps the names of the operators' keys to the SHA-256 hashes of
-	// their values in hexadecimal. These keys open all subtrees.
-	Operators map[string]string `yaml:"operators"`
+	// Operator is the SHA-256 hash of the operators' key in hexadecimal. The key
+	// opens all subtrees.
+	Operator string `yaml:"operator"`
 }
 
 // Member is one control instance.
@@ -102,10 +102,8 @@
 	case s.Data == "":
 		return missing("data")
 	}
-	for name, h := range s.Operators {
-		if b, err := hex.DecodeString(h); err != nil || len(b) != sha256.Size {
-			return errors.Newf("operators: %s: not a SHA-256 hash of 64 hexadecimal digits", name)
-		}
+	if b, err := hex.DecodeString(s.Operator); err != nil || (len(b) != 0 && len(b) != sha256.Size) {
+		return errors.New("operator: not a SHA-256 hash of 64 hexadecimal digits")
 	}
 	return nil
 }
