--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -9,6 +9,7 @@
 
 	"mangokeel"
 	"mangokeel/internal/roster"
+	"mangokeel/internal/view"
 	"mangokeel/internal/wire"
 )
 
@@ -122,3 +123,79 @@
 	c.Assert(again.GetId() > first.GetId(), qt.IsTrue)
 	c.Assert(d.Target(mangokeel.Handle(first.GetId())), qt.IsNil)
 }
+
+// Guards against the end of a drain that returns a departing target to service,
+// also after a restore.
+func TestUndrainLeavesAnnounced(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver()
+	d.force("sieste", dispatch, document)
+	departing := mangokeel.Handle(d.enter(1, "ebene"))
+	drained := mangokeel.Handle(d.enter(2, "ebene"))
+	d.apply(&wire.Command{Body: &wire.Command_Leave{Leave: &wire.LeaveRequest{
+		Role: wire.Role_ROLE_AGENT, Id: uint32(departing), Incarnation: d.Target(departing).GetIncarnation(),
+	}}})
+	d.force("sieste", "/sieste/drains/host1", "reason: x\n", "/sieste/drains/host2", "reason: x\n")
+	c.Assert(d.Target(drained).GetState(), qt.Equals, wire.State_STATE_LEAVING)
+	b, err := d.Snapshot()
+	c.Assert(err, qt.IsNil)
+	c.Assert(d.Restore(d.revision, b), qt.IsNil)
+	d.force("sieste", "/sieste/drains/host1", "", "/sieste/drains/host2", "")
+	c.Assert(d.Target(drained).GetState(), qt.Equals, wire.State_STATE_SERVING)
+	c.Assert(d.Target(departing).GetState(), qt.Equals, wire.State_STATE_LEAVING)
+}
+
+// Guards against a returning zone whose targets continue flows that callers were
+// told had ended.
+func TestReturningZoneStartsAnew(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver()
+	d.force("sieste", dispatch, document)
+	away, stays := d.enter(1, "ebene"), d.enter(2, "plaisance")
+	d.force("sieste", "/sieste/zones/ebene", "state: out\n")
+	c.Assert(d.Service(1).GetZones(), qt.DeepEquals, []string{"plaisance", "port-louis"})
+	c.Assert(d.Target(mangokeel.Handle(away)), qt.Not(qt.IsNil))
+	d.force("sieste", "/sieste/zones/ebene", "")
+	c.Assert(d.Target(mangokeel.Handle(away)), qt.IsNil)
+	c.Assert(d.Target(mangokeel.Handle(stays)), qt.Not(qt.IsNil))
+}
+
+// Guards against many updates, or a step back, for a node that missed changes.
+func TestManyMissedChangesCostOneUpdate(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver()
+	d.force("sieste", dispatch, document)
+	d.enter(1, "ebene")
+	var v view.View
+	v.Apply(d.Update(0, wire.Role_ROLE_BALANCER, 0))
+	for i := range 500 {
+		d.enter(2+i%5, "ebene")
+	}
+	u := d.Update(v.State().Revision, wire.Role_ROLE_BALANCER, 0)
+	c.Assert(u.GetWhole(), qt.IsFalse)
+	c.Assert(v.Apply(u), qt.Equals, view.Applied)
+	c.Assert(v.State().Revision, qt.Equals, d.revision)
+	c.Assert(v.State().Service(1).Targets, qt.HasLen, 6)
+	c.Assert(v.Apply(u), qt.Equals, view.Unchanged)
+}
+
+// Guards against a claim home that changes in one step while it is in use, and
+// against a step from an old epoch.
+func TestRehomeIsJoint(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver()
+	d.force("sieste", dispatch, document)
+	rehome := func(epoch uint64, done bool, next ...uint32) *wire.Outcome {
+		return d.apply(&wire.Command{Body: &wire.Command_Rehome{Rehome: &wire.Rehome{Service: 1, Epoch: epoch, Next: next, Done: done}}}).GetOutcome()
+	}
+	first := rehome(0, false, 1, 2, 3)
+	c.Assert(d.Service(1).GetHome().GetNow(), qt.DeepEquals, []uint32{1, 2, 3})
+	c.Assert(rehome(0, false, 4, 5, 6).GetCode(), qt.Equals, wire.Code_CODE_CONFLICT)
+	joint := rehome(first.GetRevision(), false, 2, 3, 4)
+	c.Assert(d.Service(1).GetHome().GetNow(), qt.DeepEquals, []uint32{1, 2, 3})
+	c.Assert(d.Service(1).GetHome().GetNext(), qt.DeepEquals, []uint32{2, 3, 4})
+	c.Assert(rehome(joint.GetRevision(), false, 5).GetCode(), qt.Equals, wire.Code_CODE_CONFLICT)
+	rehome(joint.GetRevision(), true)
+	c.Assert(d.Service(1).GetHome().GetNow(), qt.DeepEquals, []uint32{2, 3, 4})
+	c.Assert(d.Service(1).GetHome().GetNext(), qt.HasLen, 0)
+}
