cid: read connection IDs without allocating

Read allocated its 16-byte plain text on each call, because the argument of an interface method escapes. Ruled out: a buffer passed in by the caller, which spreads into every reader's signature. The keys now keep a pool of blocks.

--- a/internal/cid/cid.go
+++ b/internal/cid/cid.go
@@ -17,6 +17,7 @@
 	"crypto/aes"
 	"crypto/cipher"
 	"encoding/binary"
+	"sync"
 
 	"github.com/cockroachdb/errors"
 
@@ -40,6 +41,9 @@
 type Keys struct {
 	blocks [256]cipher.Block
 	last   uint8
+	// plain has blocks for Read. A local array would be allocated by each call,
+	// because arguments of an interface method escape.
+	plain sync.Pool
 }
 
 // NewKeys returns the keys made from secrets, oldest first.
@@ -76,7 +80,11 @@
 	if len(id) != Len || k.blocks[id[0]] == nil {
 		return 0, false
 	}
-	var p [aes.BlockSize]byte
+	p, ok := k.plain.Get().(*[aes.BlockSize]byte)
+	if !ok {
+		p = new([aes.BlockSize]byte)
+	}
+	defer k.plain.Put(p)
 	k.blocks[id[0]].Decrypt(p[:], id[4:])
 	if binary.BigEndian.Uint32(p[4:]) != uint32(service) || binary.BigEndian.Uint32(p[12:]) != 0 {
 		return 0, false
