fabric: balancer process

The balancer follows control, opens a UDP socket and a TCP listener for each service, and passes packets and connections to the agents of their targets. Decide chooses the target from the node view and the packet alone; a chain without an eligible owner starts with a hop of handle 0, so that holders are asked and nobody creates a flow.

Ruled out: encoding inside the decision (the decision is timed alone, as the design bounds it), and readers that keep a target between packets.

--- /dev/null
+++ b/internal/fabric/balancer.go
@@ -0,0 +1,280 @@
+// Package fabric is the balancer process: it takes the packets and connections
+// that the fabric hands to it and passes them to the agents of their targets.
+//
+// A balancer keeps no state that a flow needs to survive, TCP sockets excepted.
+// It follows control and opens a UDP socket and a TCP listener for each service:
+//
+//	b, err := fabric.New(cfg, remote, fabric.WithLogger(l), fabric.WithRegisterer(r))
+//	err = b.Run() // until Stop
+//
+// Decide has the rule that chooses a packet's target. It uses no sockets and
+// depends on nothing but the node view and the packet.
+package fabric
+
+import (
+	"context"
+	"net/netip"
+	"runtime"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"mangokeel"
+	"mangokeel/internal/timer"
+	"mangokeel/internal/view"
+	"mangokeel/internal/wire"
+	"mangokeel/pkg/settings"
+)
+
+// Timing of a balancer.
+const (
+	// defaultDrain bounds how long a leaving balancer keeps TCP connections.
+	defaultDrain = 30 * time.Second
+	// drainCheck is the period at which a leaving balancer counts connections.
+	drainCheck = 50 * time.Millisecond
+	// bindRetry is the period at which failed service sockets are tried again.
+	bindRetry = time.Second
+	// leaveTimeout bounds each call that announces the departure.
+	leaveTimeout = 3 * time.Second
+	// maxReaders bounds the readers of each socket. More readers than this only
+	// wait for the socket's read lock.
+	maxReaders = 4
+)
+
+// endpoints are the open services.
+type endpoints map[mangokeel.ServiceID]*endpoint
+
+// Balancer forwards the packets and connections of all services.
+type Balancer struct {
+	cfg     settings.Balancer
+	log     log.Logger
+	reg     prometheus.Registerer
+	timers  mangokeel.Timers
+	listen  func(netip.AddrPort) (mangokeel.Fabric, error)
+	drain   time.Duration
+	readers int
+
+	metrics  *metrics
+	view     view.View
+	follower *view.Follower
+	data     *data
+	streams  streams
+
+	// mu orders changes of open and failed.
+	mu sync.Mutex
+	// open is replaced, never changed, so that the reply path reads it unlocked.
+	open atomic.Pointer[endpoints]
+	// failed has the services whose sockets could not be opened.
+	failed map[mangokeel.ServiceID]string
+	// closed refuses to open sockets.
+	closed bool
+
+	// ctx ends when connections to agents must no longer be opened.
+	ctx      context.Context
+	cancel   context.CancelFunc
+	retry    mangokeel.Subscription
+	stop     chan struct{}
+	stopOnce sync.Once
+}
+
+// Option changes a Balancer.
+type Option func(*Balancer)
+
+// WithLogger sets the logger for changes of state.
+func WithLogger(l log.Logger) Option { return func(b *Balancer) { b.log = l } }
+
+// WithRegisterer sets where the metrics are registered.
+func WithRegisterer(r prometheus.Registerer) Option { return func(b *Balancer) { b.reg = r } }
+
+// WithTimers sets the timer service.
+func WithTimers(t mangokeel.Timers) Option { return func(b *Balancer) { b.timers = t } }
+
+// WithListen sets the function that opens the packet side of a service.
+func WithListen(fn func(netip.AddrPort) (mangokeel.Fabric, error)) Option {
+	return func(b *Balancer) { b.listen = fn }
+}
+
+// WithDrain bounds how long a leaving balancer keeps TCP connections.
+func WithDrain(d time.Duration) Option { return func(b *Balancer) { b.drain = d } }
+
+// WithReaders sets the number of goroutines that read each socket.
+func WithReaders(n int) Option { return func(b *Balancer) { b.readers = n } }
+
+// New opens the data socket and starts to follow control. Services open when the
+// first snapshot is there.
+func New(cfg settings.Balancer, remote mangokeel.Remote, opts ...Option) (*Balancer, error) {
+	b := &Balancer{
+		cfg:     cfg,
+		log:     log.NewNopLogger(),
+		reg:     prometheus.NewRegistry(),
+		timers:  timer.Real{},
+		listen:  ListenPackets,
+		drain:   defaultDrain,
+		readers: min(maxReaders, runtime.GOMAXPROCS(0)),
+		streams: streams{open: map[*stream]struct{}{}},
+		failed:  map[mangokeel.ServiceID]string{},
+		stop:    make(chan struct{}),
+	}
+	for _, o := range opts {
+		o(b)
+	}
+	b.ctx, b.cancel = context.WithCancel(context.Background())
+	b.open.Store(&endpoints{})
+	var err error
+	if b.data, err = openData(cfg.Data); err != nil {
+		return nil, err
+	}
+	b.metrics = newMetrics(b.reg)
+	for range b.readers {
+		b.data.done.Go(b.readReplies)
+	}
+	b.follower = view.NewFollower(&b.view, remote, cfg.Control, b.joinRequest(),
+		view.WithChanged(b.changed),
+		view.WithJoined(func(id uint32) { _ = level.Info(b.log).Log("msg", "joined", "id", id) }))
+	b.retry = b.timers.Every(bindRetry, func(time.Time) { b.retryFailed() })
+	return b, nil
+}
+
+func (b *Balancer) joinRequest() *wire.JoinRequest {
+	return &wire.JoinRequest{Role: wire.Role_ROLE_BALANCER, Zone: b.cfg.Zone, Data: b.data.address.String()}
+}
+
+// Run returns after Stop, once the balancer has left and closed everything.
+func (b *Balancer) Run() error {
+	<-b.stop
+	b.leave(false)
+	b.awaitStreams()
+	b.follower.Close()
+	b.leave(true)
+	b.retry.Cancel()
+	b.cancel()
+	b.closeEndpoints()
+	b.streams.close()
+	b.data.close()
+	return nil
+}
+
+// Stop makes Run leave. It returns at once.
+func (b *Balancer) Stop() { b.stopOnce.Do(func() { close(b.stop) }) }
+
+func (b *Balancer) leave(gone bool) {
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := b.follower.Leave(ctx, gone); err != nil {
+		_ = level.Warn(b.log).Log("msg", "departure not announced", "gone", gone, "err", err)
+		return
+	}
+	_ = level.Info(b.log).Log("msg", "leaving", "gone", gone, "connections", b.streams.count())
+}
+
+// awaitStreams returns when no TCP connection is open or the drain time is over.
+func (b *Balancer) awaitStreams() {
+	done := make(chan struct{})
+	var once sync.Once
+	end := b.timers.Now().Add(b.drain)
+	sub := b.timers.Every(drainCheck, func(now time.Time) {
+		if b.streams.count() == 0 || now.After(end) {
+			once.Do(func() { close(done) })
+		}
+	})
+	<-done
+	sub.Cancel()
+}
+
+// changed opens and closes sockets after an update of the view.
+func (b *Balancer) changed(s *view.State) {
+	b.metrics.revision.Set(float64(s.Revision))
+	b.reconcile(s)
+	b.closeStranded(s)
+}
+
+func (b *Balancer) retryFailed() {
+	b.mu.Lock()
+	n := len(b.failed)
+	b.mu.Unlock()
+	if n > 0 {
+		b.reconcile(b.view.State())
+	}
+}
+
+// reconcile makes the open services those of s.
+func (b *Balancer) reconcile(s *view.State) {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.closed {
+		return
+	}
+	old := *b.open.Load()
+	next := endpoints{}
+	for id, e := range old {
+		if svc := s.Service(id); svc != nil && b.address(svc) == e.address {
+			next[id] = e
+		}
+	}
+	b.open.Store(&next)
+	for id, e := range old {
+		if next[id] == nil {
+			e.close()
+			_ = level.Info(b.log).Log("msg", "service closed", "service", id, "address", e.address)
+		}
+	}
+	b.openMissing(s, next)
+}
+
+// openMissing opens the services of s that are not in have.
+func (b *Balancer) openMissing(s *view.State, have endpoints) {
+	next := endpoints{}
+	for id, e := range have {
+		next[id] = e
+	}
+	failed := map[mangokeel.ServiceID]string{}
+	for svc := range s.Services {
+		if next[svc.ID] != nil {
+			continue
+		}
+		e, err := b.openEndpoint(svc.ID, b.address(svc))
+		if err != nil {
+			failed[svc.ID] = err.Error()
+			b.bindFailed(svc.ID, err)
+			continue
+		}
+		next[svc.ID] = e
+		_ = level.Info(b.log).Log("msg", "service opened", "service", svc.ID, "name", svc.GetName(), "address", e.address)
+	}
+	b.failed = failed
+	b.open.Store(&next)
+	b.metrics.services.Set(float64(len(next)))
+}
+
+// bindFailed logs the first of a row of equal failures.
+func (b *Balancer) bindFailed(id mangokeel.ServiceID, err error) {
+	b.metrics.binds.Inc()
+	if b.failed[id] != err.Error() {
+		_ = level.Error(b.log).Log("msg", "service not opened", "service", id, "err", err)
+	}
+}
+
+// address returns where this balancer listens for a service.
+func (b *Balancer) address(svc *view.Service) netip.AddrPort {
+	if b.cfg.Anycast {
+		return svc.Address
+	}
+	return netip.AddrPortFrom(b.cfg.Address, svc.Address.Port())
+}
+
+// endpoint returns the open service or nil.
+func (b *Balancer) endpoint(id mangokeel.ServiceID) *endpoint { return (*b.open.Load())[id] }
+
+func (b *Balancer) closeEndpoints() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.closed = true
+	for _, e := range *b.open.Load() {
+		e.close()
+	}
+	b.open.Store(&endpoints{})
+}
--- /dev/null
+++ b/internal/fabric/balancer_test.go
@@ -0,0 +1,341 @@
+package fabric_test
+
+import (
+	"bytes"
+	"context"
+	"encoding/json"
+	"fmt"
+	"io"
+	"net"
+	"net/netip"
+	"sync"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
+	"google.golang.org/protobuf/proto"
+
+	"mangokeel/internal/fabric"
+	"mangokeel/internal/wire"
+	"mangokeel/pkg/settings"
+)
+
+// control is a control instance in memory.
+type control struct {
+	mu     sync.Mutex
+	update *wire.Update
+	leaves []bool
+}
+
+// Call implements mangokeel.Remote.
+func (x *control) Call(ctx context.Context, _ netip.AddrPort, _ string, req, resp proto.Message) error {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	switch r := resp.(type) {
+	case *wire.JoinReply:
+		r.Code, r.Id = wire.Code_CODE_ACCEPTED, 9
+	case *wire.SyncReply:
+		r.Code = wire.Code_CODE_ACCEPTED
+		if req.(*wire.SyncRequest).GetRevision() < x.update.GetRevision() {
+			r.Update = proto.Clone(x.update).(*wire.Update)
+		} else {
+			x.mu.Unlock()
+			time.Sleep(5 * time.Millisecond)
+			x.mu.Lock()
+		}
+	case *wire.LeaveReply:
+		r.Code = wire.Code_CODE_ACCEPTED
+		x.leaves = append(x.leaves, req.(*wire.LeaveRequest).GetGone())
+	}
+	return ctx.Err()
+}
+
+// set changes the served update and gives it the next revision.
+func (x *control) set(fn func(u *wire.Update)) {
+	x.mu.Lock()
+	defer x.mu.Unlock()
+	u := proto.Clone(x.update).(*wire.Update)
+	u.Revision++
+	fn(u)
+	x.update = u
+}
+
+// agent echoes packets and connections on one address.
+type agent struct {
+	packets *net.UDPConn
+	streams *net.TCPListener
+	headers chan *wire.Header
+}
+
+func (a *agent) addr() netip.AddrPort { return a.packets.LocalAddr().(*net.UDPAddr).AddrPort() }
+
+func startAgent(t testing.TB) *agent {
+	p, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	qt.Assert(t, err, qt.IsNil)
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(p.LocalAddr().(*net.UDPAddr).AddrPort()))
+	qt.Assert(t, err, qt.IsNil)
+	a := &agent{packets: p, streams: l, headers: make(chan *wire.Header, 1000)}
+	t.Cleanup(func() { p.Close(); l.Close() })
+	go a.echoPackets()
+	go a.echoStreams()
+	return a
+}
+
+func (a *agent) echoPackets() {
+	b := make([]byte, 1<<16)
+	for {
+		n, _, err := a.packets.ReadFromUDPAddrPort(b)
+		if err != nil {
+			return
+		}
+		h := &wire.Header{}
+		payload, err := wire.SplitPacket(b[:n], h)
+		if err != nil {
+			continue
+		}
+		select {
+		case a.headers <- proto.Clone(h).(*wire.Header):
+		default:
+		}
+		h.Kind = wire.Kind_KIND_REPLY
+		out, _ := wire.AppendPacket(nil, h, payload)
+		_, _ = a.packets.WriteToUDPAddrPort(out, h.Via())
+	}
+}
+
+func (a *agent) echoStreams() {
+	for {
+		c, err := a.streams.AcceptTCP()
+		if err != nil {
+			return
+		}
+		go func() {
+			defer c.Close()
+			var size [2]byte
+			_, _ = io.ReadFull(c, size[:])
+			header := make([]byte, int(size[0])<<8|int(size[1]))
+			_, _ = io.ReadFull(c, header)
+			h := &wire.Header{}
+			if proto.Unmarshal(header, h) != nil || h.GetKind() != wire.Kind_KIND_STREAM {
+				return
+			}
+			a.headers <- h
+			_, _ = io.Copy(c, c)
+			_ = c.CloseWrite()
+		}()
+	}
+}
+
+type bench struct {
+	*fabric.Balancer
+	control *control
+	agents  []*agent
+	service netip.AddrPort
+	reg     *prometheus.Registry
+	ended   chan error
+}
+
+// start runs a balancer with one UDP service of the given agents.
+func start(t testing.TB, n int, opts ...fabric.Option) *bench {
+	x := &bench{reg: prometheus.NewRegistry(), ended: make(chan error, 1)}
+	u := &wire.Update{Whole: true, Revision: 1, NextHandle: nextHandle}
+	svc := service(1, wire.Protocol_PROTOCOL_UDP)
+	free, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	qt.Assert(t, err, qt.IsNil)
+	x.service = free.LocalAddr().(*net.UDPAddr).AddrPort()
+	free.Close()
+	svc.Address = x.service.String()
+	u.Services = []*wire.Service{svc}
+	for i := range n {
+		a := startAgent(t)
+		x.agents = append(x.agents, a)
+		y := target(uint32(i+1), 1, "plaisance")
+		y.Agent = a.addr().String()
+		u.Targets = append(u.Targets, y)
+	}
+	x.control = &control{update: u}
+	loopback := netip.MustParseAddr("127.0.0.1")
+	cfg := settings.Balancer{Name: "b", Zone: "plaisance", Address: loopback, Data: netip.AddrPortFrom(loopback, 0), Control: []netip.AddrPort{{}}}
+	x.Balancer, err = fabric.New(cfg, x.control, append(opts, fabric.WithRegisterer(x.reg))...)
+	qt.Assert(t, err, qt.IsNil)
+	go func() { x.ended <- x.Run() }()
+	t.Cleanup(x.Stop)
+	eventually(t, func() bool { return x.metric("mangokeel_balancer_services") == 1 })
+	return x
+}
+
+// metric returns the sum over the labels of one metric.
+func (x *bench) metric(name string) float64 {
+	families, _ := x.reg.Gather()
+	var sum float64
+	for _, f := range families {
+		for _, m := range f.GetMetric() {
+			if f.GetName() == name {
+				sum += m.GetCounter().GetValue() + m.GetGauge().GetValue()
+			}
+		}
+	}
+	return sum
+}
+
+func eventually(t testing.TB, fn func() bool) {
+	t.Helper()
+	for end := time.Now().Add(5 * time.Second); !fn(); time.Sleep(2 * time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatal("condition not met within 5 s")
+		}
+	}
+}
+
+func (x *bench) dial(t testing.TB, network string) net.Conn {
+	c, err := net.Dial(network, x.service.String())
+	qt.Assert(t, err, qt.IsNil)
+	t.Cleanup(func() { c.Close() })
+	qt.Assert(t, c.SetDeadline(time.Now().Add(5*time.Second)), qt.IsNil)
+	return c
+}
+
+// Guards against packets that do not come back, and against crashes and lost
+// service after garbage, foreign services and oversized packets.
+func TestPacketsAndGarbage(t *testing.T) {
+	c := qt.New(t)
+	x := start(t, 3)
+	conn := x.dial(t, "udp")
+	echo := func() {
+		_, err := conn.Write([]byte("stock?"))
+		c.Assert(err, qt.IsNil)
+		b := make([]byte, 100)
+		n, err := conn.Read(b)
+		c.Assert(err, qt.IsNil)
+		c.Assert(string(b[:n]), qt.Equals, "stock?")
+	}
+	echo()
+	_, err := conn.Write(make([]byte, fabric.MaxPacket+1))
+	c.Assert(err, qt.IsNil)
+	raw, err := net.Dial("udp", x.Dump().Data.String())
+	c.Assert(err, qt.IsNil)
+	defer raw.Close()
+	reply := func(h *wire.Header) []byte {
+		b, err := wire.AppendPacket(nil, h, []byte("x"))
+		c.Assert(err, qt.IsNil)
+		return b
+	}
+	for _, b := range [][]byte{
+		{},
+		{1},
+		{0xff, 0xff, 1},
+		{0, 3, 0xff, 0xff, 0xff},
+		[]byte("not a packet"),
+		reply(&wire.Header{Kind: wire.Kind_KIND_FIND, Service: 1, CallerPort: 5}),
+		reply(&wire.Header{Kind: wire.Kind_KIND_REPLY, Service: 1}),
+		reply(&wire.Header{Kind: wire.Kind_KIND_REPLY, Service: 1, CallerPort: 1 << 20}),
+		reply(&wire.Header{Kind: wire.Kind_KIND_REPLY, Service: 77, CallerPort: 5}),
+	} {
+		_, err := raw.Write(b)
+		c.Assert(err, qt.IsNil)
+	}
+	eventually(t, func() bool { return x.metric("mangokeel_balancer_dropped_total") == 10 })
+	echo()
+	c.Assert(x.metric("mangokeel_invariant_violations_total"), qt.Equals, 0.0)
+	_, err = json.Marshal(x.Dump())
+	c.Assert(err, qt.IsNil)
+}
+
+// Guards against a half-closed connection that loses the rest of the answer, and
+// against a connection refused because one agent is down.
+func TestStreamsTryNextTarget(t *testing.T) {
+	c := qt.New(t)
+	x := start(t, 3)
+	x.agents[0].streams.Close()
+	x.agents[1].streams.Close()
+	for range 8 {
+		conn := x.dial(t, "tcp").(*net.TCPConn)
+		sent := bytes.Repeat([]byte("fleece"), 50_000)
+		go func() {
+			_, _ = conn.Write(sent)
+			_ = conn.CloseWrite()
+		}()
+		got, err := io.ReadAll(conn)
+		c.Assert(err, qt.IsNil)
+		c.Assert(bytes.Equal(got, sent), qt.IsTrue)
+		h := <-x.agents[2].headers
+		c.Assert(h.GetHandle(), qt.Equals, uint32(3))
+		c.Assert(h.Caller().String(), qt.Equals, conn.LocalAddr().String())
+	}
+	c.Assert(x.metric("mangokeel_balancer_stream_redials_total") > 0, qt.IsTrue)
+}
+
+// Guards against packets to a zone out of service (I4), on old connections too,
+// and against sockets that stay when a service goes.
+func TestZoneAndServiceGo(t *testing.T) {
+	c := qt.New(t)
+	x := start(t, 2)
+	x.control.set(func(u *wire.Update) {
+		u.Targets[1].Zone = "ebene"
+		u.Services[0].Zones = []string{"plaisance", "ebene"}
+	})
+	eventually(t, func() bool { return x.Dump().Revision == 2 })
+	var conns []net.Conn
+	for range 16 {
+		conn := x.dial(t, "tcp")
+		_, err := conn.Write([]byte("x"))
+		c.Assert(err, qt.IsNil)
+		_, err = io.ReadFull(conn, make([]byte, 1))
+		c.Assert(err, qt.IsNil)
+		conns = append(conns, conn)
+	}
+	x.control.set(func(u *wire.Update) { u.Services[0].Zones = []string{"plaisance"} })
+	kept := len(x.agents[0].headers)
+	c.Assert(kept > 0 && kept < len(conns), qt.IsTrue, qt.Commentf("kept %d", kept))
+	eventually(t, func() bool { return x.Dump().Connections == kept })
+	for range 64 {
+		_, err := x.dial(t, "udp").Write([]byte("x"))
+		c.Assert(err, qt.IsNil)
+	}
+	eventually(t, func() bool { return x.metric("mangokeel_balancer_packets_total") == 64 })
+	c.Assert(len(x.agents[1].headers), qt.Equals, len(conns)-kept)
+	x.control.set(func(u *wire.Update) { u.Services, u.Targets = nil, nil })
+	eventually(t, func() bool { return x.Dump().Connections == 0 })
+	l, err := net.Listen("tcp", x.service.String())
+	c.Assert(err, qt.IsNil)
+	l.Close()
+}
+
+// Guards against a planned stop that cuts connections before the drain time, and
+// one that waits beyond it.
+func TestStopDrains(t *testing.T) {
+	for _, x := range []struct {
+		drain time.Duration
+		ends  bool
+	}{{time.Minute, true}, {200 * time.Millisecond, false}} {
+		t.Run(fmt.Sprint(x.drain), func(t *testing.T) {
+			c := qt.New(t)
+			b := start(t, 1, fabric.WithDrain(x.drain))
+			conn := b.dial(t, "tcp")
+			_, err := conn.Write([]byte("x"))
+			c.Assert(err, qt.IsNil)
+			b.Stop()
+			time.Sleep(100 * time.Millisecond)
+			_, err = io.ReadFull(conn, make([]byte, 1))
+			c.Assert(err, qt.IsNil)
+			udp := b.dial(t, "udp")
+			_, err = udp.Write([]byte("x"))
+			c.Assert(err, qt.IsNil)
+			_, err = udp.Read(make([]byte, 1))
+			c.Assert(err, qt.IsNil)
+			if x.ends {
+				conn.Close()
+			}
+			select {
+			case err := <-b.ended:
+				c.Assert(err, qt.IsNil)
+			case <-time.After(5 * time.Second):
+				t.Fatal("balancer did not stop")
+			}
+			b.control.mu.Lock()
+			defer b.control.mu.Unlock()
+			c.Assert(b.control.leaves, qt.DeepEquals, []bool{false, true})
+		})
+	}
+}
--- /dev/null
+++ b/internal/fabric/decide_test.go
@@ -0,0 +1,235 @@
+package fabric_test
+
+import (
+	"encoding/binary"
+	"fmt"
+	"net/netip"
+	"testing"
+
+	qt "github.com/frankban/quicktest"
+
+	"mangokeel"
+	"mangokeel/internal/bucket"
+	"mangokeel/internal/cid"
+	"mangokeel/internal/fabric"
+	"mangokeel/internal/view"
+	"mangokeel/internal/wire"
+)
+
+const (
+	buckets    = 64
+	nextHandle = 100
+)
+
+var caller = netip.MustParseAddrPort("198.51.100.7:4000")
+
+// secret is the connection ID key of a test service.
+func secret(service uint32) []byte {
+	return fmt.Appendf(nil, "key of service%02d", service)
+}
+
+func service(id uint32, p wire.Protocol) *wire.Service {
+	return &wire.Service{
+		Id: id, Name: "orders", Protocol: p, Buckets: buckets, Epoch: 5, Zones: []string{"plaisance"},
+		Address: fmt.Sprintf("127.0.0.1:%d", 20000+id), Secrets: []*wire.Secret{{Number: 3, Key: secret(id)}},
+	}
+}
+
+func target(h, service uint32, zone string) *wire.Target {
+	return &wire.Target{
+		Handle: h, Service: service, Zone: zone, Agent: fmt.Sprintf("127.0.0.1:%d", 30000+h),
+		Weight: 256, State: wire.State_STATE_SERVING,
+	}
+}
+
+// state has service 1 (HTTP) with targets 1 and 2, and 3 in a zone out of
+// service; service 2 (HTTP) with target 4; service 3 (UDP) with target 5, which
+// owns all buckets, and 6 and 7, which are leaving and hold all.
+func state(t testing.TB) *view.State {
+	held := make(bucket.Bitmap, buckets/8)
+	for i := range held {
+		held[i] = 0xff
+	}
+	six, seven := target(6, 3, "plaisance"), target(7, 3, "plaisance")
+	for _, x := range []*wire.Target{six, seven} {
+		x.State, x.Held = wire.State_STATE_LEAVING, held
+	}
+	var v view.View
+	v.Apply(&wire.Update{
+		Whole: true, Revision: 5, NextHandle: nextHandle,
+		Services: []*wire.Service{service(1, wire.Protocol_PROTOCOL_HTTP), service(2, wire.Protocol_PROTOCOL_HTTP), service(3, wire.Protocol_PROTOCOL_UDP)},
+		Targets: []*wire.Target{
+			target(1, 1, "plaisance"), target(2, 1, "plaisance"), target(3, 1, "ebene"),
+			target(4, 2, "plaisance"), target(5, 3, "plaisance"), six, seven,
+		},
+	})
+	qt.Assert(t, v.State().Service(3), qt.Not(qt.IsNil))
+	return v.State()
+}
+
+// packet returns a QUIC short-header packet with an ID that service made for h.
+func packet(t testing.TB, service, h uint32) []byte {
+	k, err := cid.NewKeys([]cid.Secret{{Number: 3, Key: secret(service)}})
+	qt.Assert(t, err, qt.IsNil)
+	id := k.New(mangokeel.ServiceID(service), mangokeel.Handle(h), 12345)
+	return append(append([]byte{0x40}, id[:]...), "payload"...)
+}
+
+// Guards against packets that go to another target than their connection ID
+// names, and against handling a newer handle like one that has left.
+func TestDecideByConnectionID(t *testing.T) {
+	s := state(t)
+	owner := s.Service(1).Owner(bucket.Index(caller, 1, buckets)).Handle
+	for _, x := range []struct {
+		name string
+		h    uint32
+		kind wire.Kind
+		to   mangokeel.Handle
+	}{
+		{"present", 1, wire.Kind_KIND_DELIVER, 1},
+		{"present, not the owner", 2, wire.Kind_KIND_DELIVER, 2},
+		{"zone out of service", 3, wire.Kind_KIND_RESET, owner},
+		{"of another service", 4, wire.Kind_KIND_RESET, owner},
+		{"left", 50, wire.Kind_KIND_RESET, owner},
+		{"newer than the view", nextHandle, wire.Kind_KIND_RELAY, owner},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			d := fabric.NewDecision()
+			c.Assert(d.Decide(s, s.Service(1), caller, packet(t, 1, x.h)), qt.Equals, fabric.Forward)
+			c.Assert(d.Header.GetKind(), qt.Equals, x.kind)
+			c.Assert(d.Target.Handle, qt.Equals, x.to)
+			c.Assert(d.Header.GetHandle(), qt.Equals, uint32(x.to))
+			c.Assert(d.Header.GetChain(), qt.HasLen, 0)
+		})
+	}
+}
+
+// Guards against connection IDs that cross services: made by another service for
+// a target of its own or of this one, or forged by a change of any byte.
+func TestForeignAndForgedIDsAreIgnored(t *testing.T) {
+	c := qt.New(t)
+	s := state(t)
+	d := fabric.NewDecision()
+	check := func(p []byte) {
+		c.Assert(d.Decide(s, s.Service(1), caller, p), qt.Equals, fabric.Forward)
+		c.Assert(d.Header.GetKind(), qt.Equals, wire.Kind_KIND_FIND)
+		c.Assert(d.Target.GetService(), qt.Equals, uint32(1))
+	}
+	check(packet(t, 2, 4))
+	check(packet(t, 2, 1))
+	for i := range 16 {
+		for bit := range 8 {
+			p := packet(t, 1, 1)
+			p[5+i] ^= 1 << bit
+			check(p)
+		}
+	}
+}
+
+// Guards against a chain that misses a holder and so leads to a second owner, and
+// against connection IDs being read in a service that has none.
+func TestDecideByAddressListsChain(t *testing.T) {
+	c := qt.New(t)
+	s := state(t)
+	d := fabric.NewDecision()
+	c.Assert(d.Decide(s, s.Service(3), caller, packet(t, 3, 6)), qt.Equals, fabric.Forward)
+	c.Assert(d.Header.GetKind(), qt.Equals, wire.Kind_KIND_FIND)
+	c.Assert(d.Header.GetEpoch(), qt.Equals, uint64(5))
+	c.Assert(d.Header.GetBucket(), qt.Equals, bucket.Index(caller, 3, buckets))
+	c.Assert(d.Header.Caller(), qt.Equals, caller)
+	var got []uint32
+	for _, h := range d.Header.GetChain() {
+		got = append(got, h.GetHandle())
+		c.Assert(h.Addr(), qt.Equals, netip.AddrPortFrom(netip.MustParseAddr("127.0.0.1"), uint16(30000+h.GetHandle())))
+	}
+	c.Assert(got, qt.DeepEquals, []uint32{5, 7, 6})
+	// The next packet of the same reader has a chain of one.
+	c.Assert(d.Decide(s, s.Service(1), caller, nil), qt.Equals, fabric.Forward)
+	c.Assert(d.Header.GetChain(), qt.HasLen, 0)
+}
+
+// Guards against flows of leaving targets that end when nobody is eligible any
+// more, and against a leaving target that is then asked to create flows.
+func TestNoOwnerAsksHolders(t *testing.T) {
+	c := qt.New(t)
+	var v view.View
+	leaving := target(6, 3, "plaisance")
+	leaving.State, leaving.Held = wire.State_STATE_LEAVING, bucket.Bitmap{0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff, 0xff}
+	v.Apply(&wire.Update{Whole: true, Revision: 5, NextHandle: 7, Services: []*wire.Service{service(3, wire.Protocol_PROTOCOL_UDP)}, Targets: []*wire.Target{leaving}})
+	d := fabric.NewDecision()
+	c.Assert(d.Decide(v.State(), v.State().Service(3), caller, nil), qt.Equals, fabric.Forward)
+	c.Assert(d.Target.Handle, qt.Equals, mangokeel.Handle(6))
+	c.Assert(d.Header.GetNext(), qt.Equals, uint32(1))
+	c.Assert(d.Header.GetChain(), qt.HasLen, 2)
+	c.Assert(d.Header.GetChain()[0].GetHandle(), qt.Equals, uint32(0))
+
+	leaving = target(6, 3, "ebene")
+	v.Apply(&wire.Update{Revision: 6, Targets: []*wire.Target{leaving}})
+	c.Assert(d.Decide(v.State(), v.State().Service(3), caller, nil), qt.Equals, fabric.NoTarget)
+}
+
+// Guards against crashes, and packets that leave their service (I2) or reach a
+// zone out of service (I4), for any bytes that a caller may send.
+func FuzzDecide(f *testing.F) {
+	s := state(f)
+	f.Add(uint8(1), packet(f, 1, 3), uint32(0), uint16(0))
+	f.Add(uint8(1), packet(f, 2, 4), uint32(1), uint16(1))
+	f.Add(uint8(2), []byte{0xc0, 0, 0, 0, 1, 255}, uint32(2), uint16(2))
+	f.Add(uint8(3), []byte{}, uint32(3), uint16(3))
+	d := fabric.NewDecision()
+	f.Fuzz(func(t *testing.T, id uint8, p []byte, ip uint32, port uint16) {
+		svc := s.Service(mangokeel.ServiceID(id%3 + 1))
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte(binary.BigEndian.AppendUint32(nil, ip))), port)
+		if o := d.Decide(s, svc, a, p); o != fabric.Forward {
+			t.Fatalf("outcome %v", o)
+		}
+		if d.Target.GetService() != uint32(svc.ID) || !d.Target.Open {
+			t.Fatalf("service %d: target %v", svc.ID, d.Target)
+		}
+	})
+}
+
+// Guards against allocations for each packet. The pool that the race detector
+// drops items from may allocate there, so the bound is below one.
+func TestDecideAllocatesNothing(t *testing.T) {
+	s := state(t)
+	d := fabric.NewDecision()
+	p := packet(t, 1, 1)
+	n := testing.AllocsPerRun(1000, func() {
+		d.Decide(s, s.Service(1), caller, p)
+		d.Decide(s, s.Service(3), caller, p)
+	})
+	qt.Assert(t, n, qt.Equals, 0.0)
+}
+
+// BenchmarkDecide has the bounds of 300 ns and 0 allocations.
+func BenchmarkDecide(b *testing.B) {
+	s := state(b)
+	for _, x := range []struct {
+		name    string
+		service mangokeel.ServiceID
+		packet  []byte
+	}{
+		{"connection-id", 1, packet(b, 1, 1)},
+		{"address", 1, make([]byte, 1200)},
+		{"address-chain-of-3", 3, make([]byte, 1200)},
+	} {
+		b.Run(x.name, func(b *testing.B) {
+			d := fabric.NewDecision()
+			b.ReportAllocs()
+			for b.Loop() {
+				d.Decide(s, s.Service(x.service), caller, x.packet)
+			}
+		})
+		b.Run(x.name+"-encoded", func(b *testing.B) {
+			d := fabric.NewDecision()
+			out := make([]byte, 0, 4096)
+			b.ReportAllocs()
+			for b.Loop() {
+				d.Decide(s, s.Service(x.service), caller, x.packet)
+				_, _ = wire.AppendPacket(out[:0], &d.Header, x.packet)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/fabric/socket.go
@@ -0,0 +1,58 @@
+package fabric
+
+import (
+	"net"
+	"net/netip"
+
+	"github.com/cockroachdb/errors"
+
+	"mangokeel"
+)
+
+// socketBuffer is the kernel buffer asked for on each UDP socket, in bytes. The
+// kernel's default of about 200 KB overflows in bursts of a few milliseconds.
+const socketBuffer = 4 << 20
+
+// udpFabric is a mangokeel.Fabric over one UDP socket.
+type udpFabric struct{ c *net.UDPConn }
+
+var _ mangokeel.Fabric = udpFabric{}
+
+// ReadPacket implements mangokeel.Fabric.
+func (f udpFabric) ReadPacket(b []byte) (int, netip.AddrPort, error) {
+	n, a, err := f.c.ReadFromUDPAddrPort(b)
+	return n, unmap(a), err
+}
+
+// WritePacket implements mangokeel.Fabric.
+func (f udpFabric) WritePacket(b []byte, caller netip.AddrPort) error {
+	_, err := f.c.WriteToUDPAddrPort(b, caller)
+	return err
+}
+
+// Close implements mangokeel.Fabric.
+func (f udpFabric) Close() error { return f.c.Close() }
+
+// ListenPackets opens the UDP side of a service.
+func ListenPackets(a netip.AddrPort) (mangokeel.Fabric, error) {
+	c, err := listenUDP(a)
+	if err != nil {
+		return nil, err
+	}
+	return udpFabric{c}, nil
+}
+
+func listenUDP(a netip.AddrPort) (*net.UDPConn, error) {
+	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(a))
+	if err != nil {
+		return nil, errors.Wrap(err, "listen for packets")
+	}
+	// The kernel caps the sizes silently, so an error leaves a working socket.
+	_ = c.SetReadBuffer(socketBuffer)
+	_ = c.SetWriteBuffer(socketBuffer)
+	return c, nil
+}
+
+func unmap(a netip.AddrPort) netip.AddrPort {
+	return netip.AddrPortFrom(a.Addr().Unmap(), a.Port())
+}
