--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -2,4 +2,34 @@
 // target and caller. They serve demonstrations and tests on loopback.
 package main
 
-func main() {}
+import (
+	"fmt"
+	"os"
+
+	"github.com/cockroachdb/errors"
+	"github.com/jessevdk/go-flags"
+
+	"mangokeel/internal/process"
+)
+
+// commands are the subcommands. Each has its options and its Execute method in a
+// file of its own.
+type commands struct {
+	Fabric fabricCommand `command:"fabric" description:"hand packets and connections of a service to random balancers"`
+}
+
+func main() {
+	parser := flags.NewParser(&commands{}, flags.HelpFlag|flags.PassDoubleDash)
+	_, err := parser.Parse()
+	var usage *flags.Error
+	switch {
+	case flags.WroteHelp(err):
+		fmt.Println(err)
+	case errors.As(err, &usage):
+		fmt.Fprintln(os.Stderr, err)
+		os.Exit(process.ExitUsage)
+	case err != nil:
+		fmt.Fprintln(os.Stderr, "standin:", err)
+		os.Exit(process.ExitFailure)
+	}
+}
