--- a/cmd/standin/fabric.go
+++ b/cmd/standin/fabric.go
@@ -6,6 +6,7 @@
 	"net/netip"
 	"os"
 	"os/signal"
+	"strings"
 	"syscall"
 	"time"
 
@@ -17,25 +18,22 @@
 
 // fabricCommand runs the fabric in front of one service until SIGTERM.
 type fabricCommand struct {
-	Address   string  `long:"address" description:"public ip:port of the service, UDP and TCP" required:"true"`
-	Balancers string  `long:"balancers" description:"file that lists balancers as ip or ip:port, one on a line; read again while running" required:"true"`
-	Seed      uint64  `long:"seed" description:"seed of all random choices" default:"1"`
-	Loss      float64 `long:"loss" description:"share of packets to lose, 0 to 1"`
-	Duplicate float64 `long:"duplicate" description:"share of packets to send twice, 0 to 1"`
-	Reorder   float64 `long:"reorder" description:"share of packets to delay by up to 5 ms, 0 to 1"`
+	Listen    netip.AddrPort `long:"listen" required:"true" description:"public address of the service, UDP and TCP" value-name:"IP:PORT"`
+	Balancer  []string       `long:"balancer" description:"service socket of a balancer; the port defaults to that of --listen" value-name:"IP[:PORT]"`
+	Balancers string         `long:"balancers" description:"file with one balancer on each line, read again while running; used in place of --balancer" value-name:"FILE"`
+	Seed      uint64         `long:"seed" default:"1" description:"seed of all random choices"`
+	Loss      float64        `long:"loss" description:"share of packets to lose, 0 to 1"`
+	Duplicate float64        `long:"duplicate" description:"share of packets to send twice, 0 to 1"`
+	Reorder   float64        `long:"reorder" description:"share of packets to delay by up to 5 ms, 0 to 1"`
 }
 
 // Execute implements flags.Commander.
 func (c *fabricCommand) Execute([]string) error {
-	public, err := netip.ParseAddrPort(c.Address)
+	first, err := c.list()
 	if err != nil {
 		return err
 	}
-	first, err := standin.ReadBalancers(c.Balancers, public.Port())
-	if err != nil {
-		return err
-	}
-	f, err := standin.NewFabric(public, standin.WithSeed(c.Seed), standin.WithBalancers(first),
+	f, err := standin.NewFabric(c.Listen, standin.WithSeed(c.Seed), standin.WithBalancers(first),
 		standin.WithFaults(standin.Faults{Loss: c.Loss, Duplicate: c.Duplicate, Reorder: c.Reorder}))
 	if err != nil {
 		return err
@@ -43,14 +41,26 @@
 	defer f.Close()
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGINT, syscall.SIGTERM)
 	defer stop()
-	c.follow(ctx, f, public.Port())
+	c.follow(ctx, f)
 	fmt.Printf("%+v\n", f.Counts())
 	return nil
 }
 
+// list returns the balancers from the file, or from the command line.
+func (c *fabricCommand) list() ([]netip.AddrPort, error) {
+	if c.Balancers == "" {
+		return standin.ParseBalancers(c.Balancer, c.Listen.Port())
+	}
+	b, err := os.ReadFile(c.Balancers)
+	if err != nil {
+		return nil, err
+	}
+	return standin.ParseBalancers(strings.Split(string(b), "\n"), c.Listen.Port())
+}
+
 // follow reads the list of balancers until ctx ends. A list that cannot be read
 // changes nothing.
-func (c *fabricCommand) follow(ctx context.Context, f *standin.Fabric, port uint16) {
+func (c *fabricCommand) follow(ctx context.Context, f *standin.Fabric) {
 	tick := time.NewTicker(rereadPeriod)
 	defer tick.Stop()
 	var last string
@@ -60,7 +70,7 @@
 			return
 		case <-tick.C:
 		}
-		list, err := standin.ReadBalancers(c.Balancers, port)
+		list, err := c.list()
 		state := fmt.Sprint(list, err)
 		if state == last {
 			continue
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -15,7 +15,11 @@
 // commands are the subcommands. Each has its options and its Execute method in a
 // file of its own.
 type commands struct {
-	Fabric fabricCommand `command:"fabric" description:"hand packets and connections of a service to random balancers"`
+	Fabric  fabricCommand  `command:"fabric" description:"hand packets and connections of a service to random balancers"`
+	Target  targetCommand  `command:"target" description:"serve requests and keep a ledger of them"`
+	Caller  callerCommand  `command:"caller" description:"send requests and check the responses"`
+	Cert    certCommand    `command:"cert" description:"write a certificate for tests"`
+	Verdict verdictCommand `command:"verdict" description:"compare the callers' reports with the targets' ledgers"`
 }
 
 func main() {
--- a/standin/balancers.go
+++ b/standin/balancers.go
@@ -2,30 +2,24 @@
 
 import (
 	"net/netip"
-	"os"
 	"strings"
 
 	"github.com/cockroachdb/errors"
 )
 
-// ReadBalancers reads a file that lists the balancers' service sockets, one on a
-// line, as ip:port or as ip, which means the given port. Empty lines and lines
-// that start with # are skipped. Write the file with a rename, so that a reader
-// never sees half of it.
-func ReadBalancers(path string, port uint16) ([]netip.AddrPort, error) {
-	b, err := os.ReadFile(path)
-	if err != nil {
-		return nil, errors.Wrap(err, "read balancers")
-	}
+// ParseBalancers reads a list of balancers' service sockets, each as ip:port or
+// as ip, which means the given port. Empty lines and lines that start with # are
+// skipped. A list with a malformed line gives an error and no balancer.
+func ParseBalancers(lines []string, port uint16) ([]netip.AddrPort, error) {
 	var list []netip.AddrPort
-	for line := range strings.Lines(string(b)) {
+	for _, line := range lines {
 		line = strings.TrimSpace(line)
 		if line == "" || line[0] == '#' {
 			continue
 		}
 		a, err := parseBalancer(line, port)
 		if err != nil {
-			return nil, errors.Wrapf(err, "%s", path)
+			return nil, errors.Wrap(err, "balancer")
 		}
 		list = append(list, a)
 	}
--- a/standin/fabric.go
+++ b/standin/fabric.go
@@ -37,8 +37,8 @@
 	Reorder   float64
 }
 
-// Counts are the events of a Fabric since its start.
-type Counts struct {
+// FabricCounts are the events of a Fabric since its start.
+type FabricCounts struct {
 	Packets     uint64
 	Replies     uint64
 	Dropped     uint64
@@ -133,8 +133,8 @@
 }
 
 // Counts returns the events since the start.
-func (f *Fabric) Counts() Counts {
-	return Counts{
+func (f *Fabric) Counts() FabricCounts {
+	return FabricCounts{
 		Packets: f.sent.Load(), Replies: f.replied.Load(), Dropped: f.dropped.Load(),
 		Duplicated: f.duplicated.Load(), Reordered: f.reordered.Load(), Connections: f.connected.Load(),
 	}
--- a/standin/fabric_test.go
+++ b/standin/fabric_test.go
@@ -6,8 +6,6 @@
 	"maps"
 	"net"
 	"net/netip"
-	"os"
-	"path/filepath"
 	"slices"
 	"sync"
 	"testing"
@@ -163,14 +161,12 @@
 }
 
 // Guards against a list that is half understood.
-func TestReadBalancers(t *testing.T) {
+func TestParseBalancers(t *testing.T) {
 	c := qt.New(t)
-	path := filepath.Join(t.TempDir(), "balancers")
-	c.Assert(os.WriteFile(path, []byte("# live\n127.0.0.2\n\n127.0.0.3:9\n"), 0o600), qt.IsNil)
-	got, err := standin.ReadBalancers(path, 7)
+	got, err := standin.ParseBalancers([]string{"# live", "127.0.0.2", "", "127.0.0.3:9"}, 7)
 	c.Assert(err, qt.IsNil)
 	c.Assert(fmt.Sprint(got), qt.Equals, "[127.0.0.2:7 127.0.0.3:9]")
-	c.Assert(os.WriteFile(path, []byte("127.0.0.2 down\n"), 0o600), qt.IsNil)
-	_, err = standin.ReadBalancers(path, 7)
+	got, err = standin.ParseBalancers([]string{"127.0.0.2", "127.0.0.2 down"}, 7)
 	c.Assert(err, qt.IsNotNil)
+	c.Assert(got, qt.HasLen, 0)
 }
