process: exit with 0 after a signal

Cause: the group returns a *run.SignalError while the check compared with the value type, so each SIGTERM ended with exit code 1. Ruled out: comparing with the pointer type, which oklog/run advises against. The check now uses run.ErrSignal.

Before: balancer after SIGTERM rc=1.

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -93,11 +93,19 @@
 	p.Group.Add(run.SignalHandler(context.Background(), syscall.SIGINT, syscall.SIGTERM))
 	_ = level.Info(p.Log).Log("msg", "started")
 	err := p.Group.Run()
-	if errors.HasType(err, run.SignalError{}) || err == nil {
-		_ = level.Info(p.Log).Log("msg", "stopped")
+	if code := exitCode(err); code != ExitOK {
+		_ = level.Error(p.Log).Log("msg", "failed", "err", err)
+		return code
+	}
+	_ = level.Info(p.Log).Log("msg", "stopped")
+	return ExitOK
+}
+
+// exitCode maps the error that ended the group. A signal is a normal end.
+func exitCode(err error) int {
+	if err == nil || errors.Is(err, run.ErrSignal) {
 		return ExitOK
 	}
-	_ = level.Error(p.Log).Log("msg", "failed", "err", err)
 	return ExitFailure
 }
 
