fabric: forward for a while after leaving; chain without a marker for no owner

Agents hear of a departure within one poll and send replies to the balancer until then, so its sockets stay open for 2 s after the departure. A chain whose bucket has no owner now lists the holders alone, as agents compute it themselves; the marker hop would have made every such packet look mismatched to them.

--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -40,6 +40,9 @@
 	bindRetry = time.Second
 	// leaveTimeout bounds each call that announces the departure.
 	leaveTimeout = 3 * time.Second
+	// defaultLinger is how long a balancer that has left still forwards. Agents
+	// hear of the departure within a poll of 1 s and send replies until then.
+	defaultLinger = 2 * time.Second
 	// maxReaders bounds the readers of each socket. More readers than this only
 	// wait for the socket's read lock.
 	maxReaders = 4
@@ -56,6 +59,7 @@
 	timers  mangokeel.Timers
 	listen  func(netip.AddrPort) (mangokeel.Fabric, error)
 	drain   time.Duration
+	linger  time.Duration
 	readers int
 
 	metrics  *metrics
@@ -101,6 +105,9 @@
 // WithDrain bounds how long a leaving balancer keeps TCP connections.
 func WithDrain(d time.Duration) Option { return func(b *Balancer) { b.drain = d } }
 
+// WithLinger sets how long a balancer that has left still forwards packets.
+func WithLinger(d time.Duration) Option { return func(b *Balancer) { b.linger = d } }
+
 // WithReaders sets the number of goroutines that read each socket.
 func WithReaders(n int) Option { return func(b *Balancer) { b.readers = n } }
 
@@ -114,6 +121,7 @@
 		timers:  timer.Real{},
 		listen:  ListenPackets,
 		drain:   defaultDrain,
+		linger:  defaultLinger,
 		readers: min(maxReaders, runtime.GOMAXPROCS(0)),
 		streams: streams{open: map[*stream]struct{}{}},
 		failed:  map[mangokeel.ServiceID]string{},
@@ -150,6 +158,7 @@
 	b.awaitStreams()
 	b.follower.Close()
 	b.leave(true)
+	b.wait(b.linger)
 	b.retry.Cancel()
 	b.cancel()
 	b.closeEndpoints()
@@ -185,6 +194,13 @@
 	sub.Cancel()
 }
 
+// wait returns after d.
+func (b *Balancer) wait(d time.Duration) {
+	done := make(chan struct{})
+	b.timers.After(d, func(time.Time) { close(done) })
+	<-done
+}
+
 // changed opens and closes sockets after an update of the view.
 func (b *Balancer) changed(s *view.State) {
 	b.metrics.revision.Set(float64(s.Revision))
--- a/internal/fabric/balancer_test.go
+++ b/internal/fabric/balancer_test.go
@@ -6,6 +6,7 @@
 	"encoding/json"
 	"fmt"
 	"io"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"sync"
@@ -70,8 +71,14 @@
 
 func (a *agent) addr() netip.AddrPort { return a.packets.LocalAddr().(*net.UDPAddr).AddrPort() }
 
+// loopback returns a random loopback address, so that the ephemeral ports of
+// other connections never take the port of a socket pair.
+func loopback() netip.Addr {
+	return netip.AddrFrom4([4]byte{127, byte(1 + rand.IntN(254)), byte(rand.IntN(256)), byte(1 + rand.IntN(254))})
+}
+
 func startAgent(t testing.TB) *agent {
-	p, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
+	p, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(loopback(), 0)))
 	qt.Assert(t, err, qt.IsNil)
 	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(p.LocalAddr().(*net.UDPAddr).AddrPort()))
 	qt.Assert(t, err, qt.IsNil)
@@ -141,10 +148,7 @@
 	x := &bench{reg: prometheus.NewRegistry(), ended: make(chan error, 1)}
 	u := &wire.Update{Whole: true, Revision: 1, NextHandle: nextHandle}
 	svc := service(1, wire.Protocol_PROTOCOL_UDP)
-	free, err := net.ListenUDP("udp", &net.UDPAddr{IP: net.IPv4(127, 0, 0, 1)})
-	qt.Assert(t, err, qt.IsNil)
-	x.service = free.LocalAddr().(*net.UDPAddr).AddrPort()
-	free.Close()
+	x.service = netip.AddrPortFrom(loopback(), 17443)
 	svc.Address = x.service.String()
 	u.Services = []*wire.Service{svc}
 	for i := range n {
@@ -155,9 +159,10 @@
 		u.Targets = append(u.Targets, y)
 	}
 	x.control = &control{update: u}
-	loopback := netip.MustParseAddr("127.0.0.1")
-	cfg := settings.Balancer{Name: "b", Zone: "plaisance", Address: loopback, Data: netip.AddrPortFrom(loopback, 0), Control: []netip.AddrPort{{}}}
-	x.Balancer, err = fabric.New(cfg, x.control, append(opts, fabric.WithRegisterer(x.reg))...)
+	cfg := settings.Balancer{Name: "b", Zone: "plaisance", Address: x.service.Addr(), Data: netip.AddrPortFrom(x.service.Addr(), 0), Control: []netip.AddrPort{{}}}
+	opts = append([]fabric.Option{fabric.WithRegisterer(x.reg), fabric.WithLinger(100 * time.Millisecond)}, opts...)
+	var err error
+	x.Balancer, err = fabric.New(cfg, x.control, opts...)
 	qt.Assert(t, err, qt.IsNil)
 	go func() { x.ended <- x.Run() }()
 	t.Cleanup(x.Stop)
--- a/internal/fabric/decide.go
+++ b/internal/fabric/decide.go
@@ -108,22 +108,15 @@
 	return d.address(svc, svc.Owner(d.Header.GetBucket()), wire.Kind_KIND_RESET)
 }
 
-// byAddress chooses the first member of the bucket's chain. A chain without an
-// eligible owner starts with a hop of handle 0, so that the holders are asked
-// and nobody creates a flow.
+// byAddress chooses the first member of the bucket's chain. When no target is
+// eligible, that is the newest holder, which creates nothing because it knows
+// that it does not own the bucket.
 func (d *Decision) byAddress(svc *view.Service) Outcome {
-	b := d.Header.GetBucket()
-	owner := svc.Owner(b)
+	var first *view.Target
 	n := 0
-	if owner == nil {
-		d.hop(n, 0, netip.AddrPort{})
-		n++
-	}
-	first := owner
-	svc.Chain(b, func(t *view.Target) bool {
+	svc.Chain(d.Header.GetBucket(), func(t *view.Target) bool {
 		if first == nil {
 			first = t
-			d.Header.Next = 1
 		}
 		d.hop(n, t.Handle, t.Agent)
 		n++
@@ -141,14 +134,13 @@
 	x.Handle = uint32(h)
 	x.Port = uint32(a.Port())
 	x.Ip = d.ips[i][:0]
-	switch {
-	case a.Addr().Is4():
+	if a.Addr().Is4() {
 		v4 := a.Addr().As4()
 		x.Ip = append(x.Ip, v4[:]...)
-	case a.Addr().Is6():
-		d.ips[i] = a.Addr().As16()
-		x.Ip = d.ips[i][:]
+		return
 	}
+	d.ips[i] = a.Addr().As16()
+	x.Ip = d.ips[i][:]
 }
 
 // address completes the decision for t and checks invariants I2 and I4.
--- a/standin/fabric_test.go
+++ b/standin/fabric_test.go
@@ -4,6 +4,7 @@
 	"fmt"
 	"io"
 	"maps"
+	"math/rand/v2"
 	"net"
 	"net/netip"
 	"slices"
@@ -16,7 +17,12 @@
 	"mangokeel/standin"
 )
 
-var loopback = netip.MustParseAddrPort("127.0.0.1:0")
+// loopback returns port 0 of a random loopback address, so that the ephemeral
+// ports of other connections never take the port of a socket pair.
+func loopback() netip.AddrPort {
+	a := [4]byte{127, byte(1 + rand.IntN(254)), byte(rand.IntN(256)), byte(1 + rand.IntN(254))}
+	return netip.AddrPortFrom(netip.AddrFrom4(a), 0)
+}
 
 // balancer echoes packets and records the callers it saw.
 type balancer struct {
@@ -29,7 +35,7 @@
 func (b *balancer) addr() netip.AddrPort { return b.c.LocalAddr().(*net.UDPAddr).AddrPort() }
 
 func startBalancer(t *testing.T) *balancer {
-	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(loopback))
+	c, err := net.ListenUDP("udp", net.UDPAddrFromAddrPort(loopback()))
 	qt.Assert(t, err, qt.IsNil)
 	b := &balancer{c: c, seen: map[netip.AddrPort]int{}}
 	b.l, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(b.addr()))
@@ -97,7 +103,7 @@
 func TestSpraysOneFlow(t *testing.T) {
 	c := qt.New(t)
 	a, b := startBalancer(t), startBalancer(t)
-	f, err := standin.NewFabric(loopback, standin.WithSeed(7), standin.WithBalancers([]netip.AddrPort{a.addr(), b.addr()}))
+	f, err := standin.NewFabric(loopback(), standin.WithSeed(7), standin.WithBalancers([]netip.AddrPort{a.addr(), b.addr()}))
 	c.Assert(err, qt.IsNil)
 	defer f.Close()
 	conn := dial(t, f, "udp")
@@ -127,7 +133,7 @@
 	c := qt.New(t)
 	a, b := startBalancer(t), startBalancer(t)
 	a.l.Close()
-	f, err := standin.NewFabric(loopback, standin.WithBalancers([]netip.AddrPort{a.addr(), b.addr()}))
+	f, err := standin.NewFabric(loopback(), standin.WithBalancers([]netip.AddrPort{a.addr(), b.addr()}))
 	c.Assert(err, qt.IsNil)
 	defer f.Close()
 	for range 8 {
@@ -145,7 +151,7 @@
 func TestFaults(t *testing.T) {
 	c := qt.New(t)
 	a := startBalancer(t)
-	f, err := standin.NewFabric(loopback, standin.WithBalancers([]netip.AddrPort{a.addr()}),
+	f, err := standin.NewFabric(loopback(), standin.WithBalancers([]netip.AddrPort{a.addr()}),
 		standin.WithFaults(standin.Faults{Loss: 0.2, Duplicate: 0.2, Reorder: 0.2}))
 	c.Assert(err, qt.IsNil)
 	defer f.Close()
