--- /dev/null
+++ b/internal/flow/walk.go
@@ -0,0 +1,209 @@
+package flow
+
+import (
+	"time"
+
+	"mangokeel"
+	"mangokeel/internal/bucket"
+	"mangokeel/internal/view"
+	"mangokeel/internal/wire"
+)
+
+// Receive decides about one packet and changes the table accordingly.
+func (t *Table) Receive(now time.Time, p Packet) Decision {
+	d := t.decide(now, p)
+	t.counters.Actions[d.Action]++
+	if d.Action == Drop {
+		t.counters.Drops[d.Reason]++
+	}
+	return d
+}
+
+func (t *Table) decide(now time.Time, p Packet) Decision {
+	switch {
+	case p.Service != t.cfg.Service:
+		return drop(ReasonService)
+	case p.Handle != t.cfg.Handle:
+		return drop(ReasonHandle)
+	case p.Named != 0 && t.cfg.Protocol != wire.Protocol_PROTOCOL_UDP:
+		return t.named(p)
+	}
+	switch p.Kind {
+	case wire.Kind_KIND_FIND, wire.Kind_KIND_CREATE:
+		return t.find(now, p)
+	case wire.Kind_KIND_DELIVER:
+		if t.cfg.Protocol == wire.Protocol_PROTOCOL_UDP {
+			return drop(ReasonKind)
+		}
+		return Decision{Action: Deliver}
+	case wire.Kind_KIND_RELAY, wire.Kind_KIND_RESET:
+		return drop(ReasonUnknown)
+	}
+	return drop(ReasonKind)
+}
+
+func drop(r Reason) Decision { return Decision{Action: Drop, Reason: r} }
+
+// named decides about a packet whose connection ID names a target. It is reset
+// only when the target has left in this agent's view; a handle above the view's
+// next one may be alive.
+func (t *Table) named(p Packet) Decision {
+	if p.Named == t.cfg.Handle {
+		if t.closed() {
+			return Decision{Action: Reset}
+		}
+		return Decision{Action: Deliver}
+	}
+	if t.service == nil || p.Named >= t.state.NextHandle {
+		return drop(ReasonUnknown)
+	}
+	to := t.service.Targets[p.Named]
+	if to == nil || !to.Open {
+		return Decision{Action: Reset}
+	}
+	return t.forward(p, wire.Kind_KIND_DELIVER, Hop{Handle: to.Handle, Agent: to.Agent}, step{epoch: p.Epoch})
+}
+
+// step is one position of a walk along a chain.
+type step struct {
+	epoch mangokeel.Epoch
+	chain []Hop
+	at    int
+}
+
+// find applies the rules for packets whose flow is found by address.
+func (t *Table) find(now time.Time, p Packet) Decision {
+	if t.touch(now, p.Bucket, p.Caller) {
+		return Decision{Action: Deliver}
+	}
+	if !t.plausible(p) {
+		return drop(ReasonBucket)
+	}
+	s, fresh := t.newest(p)
+	if f, ok := t.floors[p.Bucket]; ok && f.epoch > s.epoch {
+		t.counters.Fenced++
+		return t.begin(p, step{epoch: f.epoch, chain: f.chain})
+	}
+	switch {
+	case len(s.chain) == 0:
+		return drop(ReasonOwner)
+	case fresh && s.chain[0].Handle != t.cfg.Handle:
+		return t.begin(p, s)
+	case s.at >= len(s.chain) || s.chain[s.at].Handle != t.cfg.Handle:
+		return drop(ReasonChain)
+	}
+	create := p.Kind == wire.Kind_KIND_CREATE && !fresh
+	if s.at > 0 {
+		if create {
+			return drop(ReasonChain)
+		}
+		return t.decline(p, s)
+	}
+	if create || len(s.chain) == 1 {
+		return t.create(now, p, s)
+	}
+	return t.forward(p, wire.Kind_KIND_FIND, s.chain[1], step{s.epoch, s.chain, 1})
+}
+
+// plausible checks the bucket against the caller as far as the view allows.
+func (t *Table) plausible(p Packet) bool {
+	if t.service == nil {
+		return p.Bucket < MaxBuckets
+	}
+	return p.Bucket == bucket.Index(p.Caller, t.cfg.Service, t.service.GetBuckets())
+}
+
+// newest returns the packet's position in its chain, or the start of this
+// agent's own chain when that one is newer. The walk then begins anew, because
+// members of the newer chain may not have been asked; fresh is then true.
+func (t *Table) newest(p Packet) (s step, fresh bool) {
+	s = step{p.Epoch, p.Chain, int(p.Next)}
+	if len(s.chain) == 0 {
+		s.chain = []Hop{{Handle: t.cfg.Handle}}
+		s.at = 0
+	}
+	if t.service == nil || p.Epoch > t.Epoch() {
+		return s, false
+	}
+	own := t.chain(p.Bucket)
+	if p.Epoch == t.Epoch() {
+		if equal(own, s.chain) {
+			return s, false
+		}
+		t.counters.Mismatched++
+	}
+	t.counters.Upgraded++
+	return step{t.Epoch(), own, 0}, true
+}
+
+// chain returns this agent's own chain of a bucket.
+func (t *Table) chain(b uint32) []Hop {
+	var c []Hop
+	t.service.Chain(b, func(x *view.Target) bool {
+		c = append(c, Hop{Handle: x.Handle, Agent: x.Agent})
+		return true
+	})
+	return c
+}
+
+func equal(a, b []Hop) bool {
+	if len(a) != len(b) {
+		return false
+	}
+	for i := range a {
+		if a[i].Handle != b[i].Handle {
+			return false
+		}
+	}
+	return true
+}
+
+// decline answers that this agent does not hold the flow: it raises the floor and
+// passes the packet to the next member, or back to the owner after the last.
+func (t *Table) decline(p Packet, s step) Decision {
+	if s.epoch > t.Epoch() {
+		t.floors[p.Bucket] = floor{s.epoch, s.chain}
+	}
+	if s.at+1 == len(s.chain) {
+		return t.forward(p, wire.Kind_KIND_CREATE, s.chain[0], step{s.epoch, s.chain, 0})
+	}
+	return t.forward(p, wire.Kind_KIND_FIND, s.chain[s.at+1], step{s.epoch, s.chain, s.at + 1})
+}
+
+// create opens a flow at the owner, after every other member declined.
+func (t *Table) create(now time.Time, p Packet, s step) Decision {
+	if s.epoch < t.Epoch() || s.epoch < t.floors[p.Bucket].epoch {
+		t.counters.Violations++
+		return drop(ReasonInvariant)
+	}
+	if s.epoch == t.Epoch() && t.service != nil && t.service.Owner(p.Bucket) == nil {
+		return drop(ReasonOwner)
+	}
+	if !p.Opens {
+		return Decision{Action: Reset}
+	}
+	t.insert(now, p.Bucket, p.Caller)
+	return Decision{Action: Create}
+}
+
+// begin begins a walk at the owner of a newer chain.
+func (t *Table) begin(p Packet, s step) Decision {
+	return t.forward(p, wire.Kind_KIND_FIND, s.chain[0], step{s.epoch, s.chain, 0})
+}
+
+// forward returns the decision to send p to another member. A packet is never
+// forwarded to this agent itself.
+func (t *Table) forward(p Packet, k wire.Kind, to Hop, s step) Decision {
+	switch {
+	case to.Handle == t.cfg.Handle:
+		t.counters.Violations++
+		return drop(ReasonInvariant)
+	case p.Hops >= MaxHops:
+		return drop(ReasonHops)
+	}
+	d := Decision{Action: Forward, To: to, Kind: k, Epoch: s.epoch, Hops: p.Hops + 1, Next: uint32(s.at)}
+	if len(s.chain) > 1 {
+		d.Chain = s.chain
+	}
+	return d
+}
