agent: process beside a target, with its data socket, QUIC and HTTP/1.1

Joins through view.Follower, decides about packets with package flow, serves HTTP/3 on a transport fed from the data socket and HTTP/1.1 on streams with a preface, relays datagrams of UDP services, and leaves when it is stopped. The transport's own stateless reset is not used for targets that have left: it does not answer packets of 42 bytes or less, which is what a caller that only sends PINGs sends.

--- /dev/null
+++ b/cmd/agent/main.go
@@ -0,0 +1,25 @@
+// Command agent runs beside a target, announces it and owns its flows.
+package main
+
+import (
+	"mangokeel/internal/agent"
+	"mangokeel/internal/jsonrpc"
+	"mangokeel/internal/process"
+	"mangokeel/pkg/settings"
+)
+
+func main() {
+	var cfg settings.Agent
+	process.Main("agent", &cfg, func(p *process.Process) error { return start(p, cfg) })
+}
+
+func start(p *process.Process, cfg settings.Agent) error {
+	a, err := agent.New(cfg, jsonrpc.NewClient(), agent.WithLog(p.Log))
+	if err != nil {
+		return err
+	}
+	p.Registry.MustRegister(agent.NewCollector(a))
+	p.SetDump(func() any { return a.Status() })
+	p.Group.Add(a.Run, func(error) { a.Stop() })
+	return p.ServeStatus(cfg.Status)
+}
--- /dev/null
+++ b/internal/agent/agent.go
@@ -0,0 +1,377 @@
+// Package agent is the process beside each target. It announces the target to
+// control, owns the flows that reach it, and stands for the service towards
+// callers: it ends their QUIC and HTTP connections, or relays their datagrams.
+//
+//	a, err := agent.New(cfg, remote, agent.WithHandler(h), agent.WithLog(log))
+//	err = a.Run()  // returns after Stop, when all flows have ended
+//
+// The parts are: the data socket, which asks package flow about each packet; the
+// QUIC endpoint; the TCP listener, which takes connections that balancers relay;
+// and the departure, which ends all of it without breaking a request.
+package agent
+
+import (
+	"crypto/tls"
+	"net"
+	"net/http"
+	"net/netip"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"mangokeel"
+	"mangokeel/internal/flow"
+	"mangokeel/internal/timer"
+	"mangokeel/internal/view"
+	"mangokeel/internal/wire"
+	"mangokeel/pkg/settings"
+)
+
+// Periods of the agent's own work.
+const (
+	// expirePeriod is the time between two looks at a part of the flow table.
+	expirePeriod = 250 * time.Millisecond
+	// fullWeight is the weight of a target without limits of its own.
+	fullWeight = 256
+)
+
+// Agent is the process beside one target.
+type Agent struct {
+	cfg     settings.Agent
+	handler http.Handler
+	weight  func() uint32
+	log     log.Logger
+	timers  mangokeel.Timers
+	// cert is nil when no files are set; there is no QUIC endpoint then.
+	cert *tls.Certificate
+
+	udp      *net.UDPConn
+	streams  *streams
+	replies  *replies
+	probe    *probe
+	view     view.View
+	follower *view.Follower
+	counters counters
+	subs     []mangokeel.Subscription
+	done     sync.WaitGroup
+
+	// handle is the one that control gave last.
+	handle atomic.Uint32
+	// mu orders all uses of the flow table.
+	mu sync.Mutex
+	// reg is nil until the view has the target's record.
+	reg *registration
+	// past has the counters of registrations that ended.
+	past flow.Counters
+
+	stop     chan struct{}
+	stopOnce sync.Once
+}
+
+// Option changes an Agent.
+type Option func(*Agent)
+
+// WithHandler sets the handler of requests. Without it they are relayed to the
+// target without admission.
+func WithHandler(h http.Handler) Option { return func(a *Agent) { a.handler = h } }
+
+// WithWeight sets the function that says how much work the target can bear, from
+// 0 to 256.
+func WithWeight(fn func() uint32) Option { return func(a *Agent) { a.weight = fn } }
+
+// WithLog sets the logger.
+func WithLog(l log.Logger) Option { return func(a *Agent) { a.log = l } }
+
+// WithTimers sets the timer service.
+func WithTimers(t mangokeel.Timers) Option { return func(a *Agent) { a.timers = t } }
+
+// New opens the agent's sockets and joins the roster.
+func New(cfg settings.Agent, remote mangokeel.Remote, opts ...Option) (*Agent, error) {
+	a := &Agent{
+		cfg:     cfg,
+		handler: relayTo(cfg.Target),
+		weight:  func() uint32 { return fullWeight },
+		log:     log.NewNopLogger(),
+		timers:  timer.Real{},
+		replies: &replies{},
+		stop:    make(chan struct{}),
+	}
+	for _, o := range opts {
+		o(a)
+	}
+	if err := a.open(); err != nil {
+		return nil, err
+	}
+	a.probe = &probe{target: cfg.Target}
+	a.subs = append(a.subs,
+		a.timers.Every(expirePeriod, a.expire),
+		a.timers.Every(probePeriod, a.look),
+		a.timers.Every(reapPeriod, a.reap),
+	)
+	a.done.Add(1)
+	go func() {
+		defer a.done.Done()
+		a.receive()
+	}()
+	a.follower = view.NewFollower(&a.view, remote, cfg.Control, a.join(),
+		view.WithReport(a.report), view.WithChanged(a.changed), view.WithJoined(a.joined))
+	return a, nil
+}
+
+// open loads the certificate and opens the data socket and the listener.
+func (a *Agent) open() error {
+	if a.cfg.Cert != "" {
+		c, err := tls.LoadX509KeyPair(a.cfg.Cert, a.cfg.Key)
+		if err != nil {
+			return errors.Wrap(err, "load certificate")
+		}
+		a.cert = &c
+	}
+	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(a.cfg.Address))
+	if err != nil {
+		return errors.Wrap(err, "listen for streams")
+	}
+	a.udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(a.Address(l)))
+	if err != nil {
+		l.Close()
+		return errors.Wrap(err, "open data socket")
+	}
+	// The kernel may allow less; the agent works with what it gets.
+	_ = a.udp.SetReadBuffer(socketBuffer)
+	_ = a.udp.SetWriteBuffer(socketBuffer)
+	a.replies.conn = a.udp
+	a.streams = newStreams(l, a.counted(a.handler), a.accepts)
+	return nil
+}
+
+// Address returns the address of l, whose port is set when the settings have 0.
+func (a *Agent) Address(l net.Listener) netip.AddrPort {
+	p := l.Addr().(*net.TCPAddr).AddrPort()
+	return netip.AddrPortFrom(a.cfg.Address.Addr(), p.Port())
+}
+
+func (a *Agent) join() *wire.JoinRequest {
+	return &wire.JoinRequest{
+		Role:    wire.Role_ROLE_AGENT,
+		Zone:    a.cfg.Zone,
+		Service: a.cfg.Service,
+		Host:    a.cfg.Name,
+		Agent:   a.udp.LocalAddr().String(),
+		Target:  a.cfg.Target.String(),
+	}
+}
+
+// registration is what belongs to one handle.
+type registration struct {
+	handle  mangokeel.Handle
+	service mangokeel.ServiceID
+	// table is guarded by Agent.mu.
+	table *flow.Table
+	// endpoint is nil for UDP services, relay for HTTP services.
+	endpoint *endpoint
+	relay    *relay
+	// leaving and closed are used by the follower's goroutine only.
+	leaving bool
+	closed  bool
+}
+
+// joined is called with each handle that control gives. Callers reach the flows
+// of an earlier handle no more, so they are ended.
+func (a *Agent) joined(id uint32) {
+	a.handle.Store(id)
+	a.mu.Lock()
+	old := a.reg
+	a.reg = nil
+	if old != nil {
+		a.past = add(a.past, old.table.Counters())
+	}
+	a.mu.Unlock()
+	if old != nil {
+		old.end("the lease of the target ended")
+	}
+	_ = level.Info(a.log).Log("msg", "joined", "handle", id)
+}
+
+// changed takes over a new state of the view.
+func (a *Agent) changed(s *view.State) {
+	a.replies.update(s)
+	a.mu.Lock()
+	reg := a.reg
+	a.mu.Unlock()
+	if reg == nil {
+		if reg = a.register(s); reg == nil {
+			return
+		}
+	}
+	a.mu.Lock()
+	closed := reg.table.Update(s)
+	a.reg = reg
+	a.mu.Unlock()
+	a.follow(reg, s.Service(reg.service), closed)
+}
+
+// register returns a registration for the present handle once the view has it.
+func (a *Agent) register(s *view.State) *registration {
+	h := mangokeel.Handle(a.handle.Load())
+	for svc := range s.Services {
+		if svc.Targets[h] == nil {
+			continue
+		}
+		reg := &registration{handle: h, service: svc.ID}
+		reg.table = flow.New(flow.Config{Service: svc.ID, Handle: h, Protocol: svc.GetProtocol()})
+		if svc.GetProtocol() == wire.Protocol_PROTOCOL_UDP {
+			reg.relay = newRelay(a.cfg.Target, reg, a.replies, &a.counters)
+			return reg
+		}
+		if a.cert == nil {
+			return reg
+		}
+		var err error
+		if reg.endpoint, err = newEndpoint(a, reg, svc); err != nil {
+			_ = level.Error(a.log).Log("msg", "no QUIC endpoint", "err", err)
+		}
+		return reg
+	}
+	return nil
+}
+
+// follow reacts to changes of the target's own record.
+func (a *Agent) follow(reg *registration, svc *view.Service, closed bool) {
+	if svc == nil || svc.Targets[reg.handle] == nil {
+		return
+	}
+	leaving := svc.Targets[reg.handle].GetState() == wire.State_STATE_LEAVING
+	if reg.endpoint != nil {
+		reg.endpoint.keys.Store(svc.Keys)
+	}
+	if leaving != reg.leaving {
+		reg.leaving = leaving
+		a.streams.leave(leaving)
+		if reg.endpoint != nil {
+			reg.endpoint.leave(leaving)
+		}
+		_ = level.Info(a.log).Log("msg", "state changed", "leaving", leaving)
+	}
+	if closed != reg.closed {
+		reg.closed = closed
+		_ = level.Info(a.log).Log("msg", "availability zone changed", "out", closed)
+	}
+	if closed {
+		a.abandon(reg)
+	}
+}
+
+// abandon ends all flows of a target whose availability zone is out of service.
+func (a *Agent) abandon(reg *registration) {
+	const reason = "availability zone out of service"
+	a.streams.abandon()
+	if reg.endpoint != nil {
+		reg.endpoint.abandon(reason)
+	}
+	if reg.relay != nil {
+		reg.relay.close()
+	}
+}
+
+// end closes what belongs to the registration.
+func (r *registration) end(reason string) {
+	if r.endpoint != nil {
+		r.endpoint.close(reason)
+	}
+	if r.relay != nil {
+		r.relay.close()
+	}
+}
+
+// report is what control learns with each poll.
+func (a *Agent) report() view.Report {
+	r := view.Report{Load: &wire.Load{Weight: a.weightNow(), Running: uint32(a.counters.running.Load())}}
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.reg == nil {
+		return r
+	}
+	r.Load.Flows = uint32(a.flows())
+	epoch, free := a.reg.table.Release()
+	if !free.Empty() {
+		r.Release = &wire.Release{Handle: uint32(a.reg.handle), Epoch: uint64(epoch), Buckets: free}
+	}
+	return r
+}
+
+// look checks the target of an HTTP service. A UDP target need not listen on TCP.
+func (a *Agent) look(time.Time) {
+	a.mu.Lock()
+	http := a.reg != nil && a.reg.relay == nil
+	a.mu.Unlock()
+	if http {
+		a.probe.check()
+	}
+}
+
+// weightNow is 0 while the target does not accept connections or packets.
+func (a *Agent) weightNow() uint32 {
+	refused := a.counters.refusedAt.Load()
+	if !a.probe.up() || (refused != 0 && a.timers.Now().Sub(time.Unix(0, refused)) < refusalKept) {
+		return 0
+	}
+	return min(a.weight(), fullWeight)
+}
+
+// flows returns the number of open flows. The caller holds mu.
+func (a *Agent) flows() int {
+	n := a.streams.len()
+	switch {
+	case a.reg == nil:
+	case a.reg.endpoint != nil:
+		n += a.reg.endpoint.len()
+	default:
+		n += a.reg.table.Len()
+	}
+	return n
+}
+
+// expire removes idle flows.
+func (a *Agent) expire(now time.Time) {
+	a.replies.expire(now)
+	var ended []netip.AddrPort
+	a.mu.Lock()
+	reg := a.reg
+	if reg != nil {
+		reg.table.Expire(now, func(c netip.AddrPort) { ended = append(ended, c) })
+	}
+	a.mu.Unlock()
+	if reg == nil || reg.relay == nil {
+		return
+	}
+	for _, c := range ended {
+		reg.relay.end(c)
+	}
+}
+
+// accepts reports whether a stream is for this agent.
+func (a *Agent) accepts(h *wire.Header) bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	ok := a.reg != nil && h.GetKind() == wire.Kind_KIND_STREAM &&
+		h.GetService() == uint32(a.reg.service) && h.GetHandle() == uint32(a.reg.handle) &&
+		a.reg.relay == nil
+	if !ok {
+		a.counters.refused.Add(1)
+	}
+	return ok
+}
+
+// reap closes connections that are idle although their callers were told to go.
+func (a *Agent) reap(now time.Time) {
+	a.mu.Lock()
+	reg := a.reg
+	a.mu.Unlock()
+	if reg != nil && reg.endpoint != nil {
+		reg.endpoint.reap(now)
+	}
+}
--- /dev/null
+++ b/internal/agent/drain.go
@@ -0,0 +1,125 @@
+package agent
+
+import (
+	"context"
+	"time"
+
+	"github.com/go-kit/log/level"
+
+	"mangokeel"
+	"mangokeel/internal/wire"
+)
+
+const (
+	// settle is the time for which a leaving agent waits at least, so that all
+	// nodes learn of it and late packets still find it.
+	settle = 3 * time.Second
+	// drainPeriod is the time between two looks whether all flows have ended.
+	drainPeriod = 200 * time.Millisecond
+	// leaveTimeout bounds one announcement to control.
+	leaveTimeout = 5 * time.Second
+)
+
+// Run waits for Stop and then leaves: it announces the departure, waits until no
+// flows and requests are left or the service's drain time has passed, announces
+// that the target is gone, and closes the agent.
+func (a *Agent) Run() error {
+	<-a.stop
+	_ = level.Info(a.log).Log("msg", "leaving")
+	a.drain()
+	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+	defer cancel()
+	if err := a.follower.Leave(ctx, true); err != nil {
+		_ = level.Warn(a.log).Log("msg", "departure not announced, the lease will end", "err", err)
+	}
+	a.Close()
+	return nil
+}
+
+// Stop makes Run leave. It returns at once.
+func (a *Agent) Stop() { a.stopOnce.Do(func() { close(a.stop) }) }
+
+// drain announces the departure until control has accepted it, and waits. When
+// the drain time has passed before, flows are cut nevertheless.
+func (a *Agent) drain() {
+	begin := a.timers.Now()
+	announced := false
+	for {
+		if !announced {
+			ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
+			announced = a.follower.Leave(ctx, false) == nil
+			cancel()
+		}
+		spent := a.timers.Now().Sub(begin)
+		limit := a.drainTime()
+		if limit > 0 && spent >= limit {
+			_ = level.Warn(a.log).Log("msg", "drain time passed", "flows", a.busy())
+			return
+		}
+		if spent >= settle && a.busy() == 0 {
+			return
+		}
+		time.Sleep(drainPeriod)
+	}
+}
+
+// drainTime returns the service's drain time; 0 is no limit.
+func (a *Agent) drainTime() time.Duration {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.reg == nil {
+		return settle
+	}
+	svc := a.view.State().Service(a.reg.service)
+	if svc == nil {
+		return settle
+	}
+	return time.Duration(svc.GetDrainMs()) * time.Millisecond
+}
+
+// busy returns the number of flows and running requests.
+func (a *Agent) busy() int {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	n := a.flows() + int(a.counters.running.Load())
+	if a.reg != nil && a.reg.endpoint != nil {
+		// Handshakes that have begun are in the table only.
+		n += a.reg.table.Len()
+	}
+	return n
+}
+
+// Close ends the agent at once. Its flows break.
+func (a *Agent) Close() {
+	a.follower.Close()
+	for _, s := range a.subs {
+		s.Cancel()
+	}
+	a.mu.Lock()
+	reg := a.reg
+	a.reg = nil
+	a.mu.Unlock()
+	if reg != nil {
+		reg.end("target left")
+	}
+	a.streams.close()
+	a.udp.Close()
+	a.done.Wait()
+}
+
+// Leaving reports whether control knows that the target leaves.
+func (a *Agent) Leaving() bool {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if a.reg == nil {
+		return false
+	}
+	svc := a.view.State().Service(a.reg.service)
+	if svc == nil || svc.Targets[a.reg.handle] == nil {
+		return false
+	}
+	return svc.Targets[a.reg.handle].GetState() == wire.State_STATE_LEAVING
+}
+
+// Handle returns the target's present handle, or 0 before it has joined.
+func (a *Agent) Handle() mangokeel.Handle { return mangokeel.Handle(a.handle.Load()) }
