--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -43,6 +43,7 @@
 	}
 	a.Expired += b.Expired
 	a.Abandoned += b.Abandoned
+	a.Settled += b.Settled
 	a.Mismatched += b.Mismatched
 	a.Upgraded += b.Upgraded
 	a.Fenced += b.Fenced
@@ -174,6 +175,7 @@
 		"move":          moves,
 		"expired":       s.Counters.Expired,
 		"abandoned":     s.Counters.Abandoned,
+		"settled":       s.Counters.Settled,
 		"mismatched":    s.Counters.Mismatched,
 		"upgraded":      s.Counters.Upgraded,
 		"fenced":        s.Counters.Fenced,
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -35,8 +35,8 @@
 	// service ends.
 	IdleUDP = 5 * time.Minute
 	// IdleHTTP is the time after the last packet found by address for which a
-	// flow of an HTTP service is kept. Only packets sent before the caller has
-	// seen the agent's connection ID are found by address.
+	// flow of an HTTP service is kept whose caller has not yet used a connection
+	// ID of the agent.
 	IdleHTTP = 10 * time.Second
 )
 
@@ -162,6 +162,8 @@
 	// Abandoned counts flows that ended because the availability zone was taken
 	// out of service.
 	Abandoned uint64
+	// Settled counts flows that are found by connection IDs from then on.
+	Settled uint64
 	// Mismatched counts chains that differ from this agent's under one epoch.
 	Mismatched uint64
 	// Upgraded counts packets whose chain was replaced by a newer one.
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -300,6 +300,23 @@
 	}
 }
 
+// Guards against buckets that stay held, and new connections that reach a leaving
+// target, because of flows that are found by their connection IDs already.
+func TestSettled(t *testing.T) {
+	c := qt.New(t)
+	tab := table(1, wire.Protocol_PROTOCOL_HTTP)
+	tab.Update(stateOf(1, []mangokeel.Handle{1}))
+	tab.Receive(start, find(1, 1))
+	tab.Update(stateOf(2, []mangokeel.Handle{2, 1}))
+	p := find(2, 1)
+	p.Kind, p.Named = wire.Kind_KIND_DELIVER, 1
+	c.Assert(tab.Receive(start, p).Action, qt.Equals, flow.Deliver)
+	c.Assert(tab.Len(), qt.Equals, 0)
+	_, free := tab.Release()
+	c.Assert(free.Has(home), qt.IsTrue)
+	c.Assert(show(tab.Receive(start, find(1, 1))), qt.Equals, "forward 2 KIND_FIND 2 next 0")
+}
+
 // Guards against flows that outlive the availability zone of their target.
 func TestZoneOut(t *testing.T) {
 	c := qt.New(t)
--- a/internal/flow/walk.go
+++ b/internal/flow/walk.go
@@ -1,6 +1,7 @@
 package flow
 
 import (
+	"net/netip"
 	"time"
 
 	"mangokeel"
@@ -52,6 +53,7 @@
 		if t.closed() {
 			return Decision{Action: Reset}
 		}
+		t.settle(p.Caller)
 		return Decision{Action: Deliver}
 	}
 	if t.service == nil || p.Named >= t.state.NextHandle {
@@ -64,6 +66,15 @@
 	return t.forward(p, wire.Kind_KIND_DELIVER, Hop{Handle: to.Handle, Agent: to.Agent}, step{epoch: p.Epoch})
 }
 
+// settle removes the entry of a caller who uses this agent's connection IDs. All
+// its later packets are found by them. With the entry, a new connection from the
+// same port would go to this target even when it is leaving.
+func (t *Table) settle(caller netip.AddrPort) {
+	if t.count > 0 && t.Remove(caller) {
+		t.counters.Settled++
+	}
+}
+
 // step is one position of a walk along a chain.
 type step struct {
 	epoch mangokeel.Epoch
