target: admit requests, hand over what did not run, refuse at once

Cause: the thin relay sends everything to the target. Change: requests are classified by the service's rules and wait in a limit.Limiter; refused work, and idempotent work that failed, is offered once to another agent over its stream listener, marked so that it goes no further, within a budget of a tenth of the requests; a leaving agent and one whose target cannot be reached hand over without asking the target and without the budget, since that adds no load. Weight follows the limit in steps of two, is 0 while dials fail and 1 while requests fail.

--- a/internal/limit/health.go
+++ b/internal/limit/health.go
@@ -22,6 +22,9 @@
 	// failingRatio is the smoothed share of failures from which a target counts
 	// as failing: four failures in a row.
 	failingRatio = 0.9
+	// failingPeriod is how long a target counts as failing after its last failure,
+	// so that it is tried again.
+	failingPeriod = 5 * time.Second
 )
 
 // health is what service times and failures say about a target.
@@ -33,6 +36,7 @@
 	ratio float64
 	// failures is the smoothed share of failures.
 	failures float64
+	failedAt time.Time
 }
 
 // kind is the least service time of requests of one kind.
@@ -101,6 +105,11 @@
 
 func (h *health) collapsed(ratio float64) bool { return ratio > collapseRatio }
 
-func (h *health) failed() { h.failures = (h.failures + 1) / 2 }
+func (h *health) failed(now time.Time) {
+	h.failures = (h.failures + 1) / 2
+	h.failedAt = now
+}
 
-func (h *health) failing() bool { return h.failures > failingRatio }
+func (h *health) failing(now time.Time) bool {
+	return h.failures > failingRatio && now.Sub(h.failedAt) < failingPeriod
+}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -502,8 +502,8 @@
 
 func (l *Limiter) failed(now time.Time) {
 	l.counts.Failed++
-	l.health.failed()
-	if l.health.failing() {
+	l.health.failed(now)
+	if l.health.failing(now) {
 		l.collapse(now)
 	}
 }
@@ -556,7 +556,7 @@
 func (l *Limiter) Share() float64 { return l.limit / float64(l.cfg.Slots) }
 
 // Failing reports whether nearly all recent requests failed.
-func (l *Limiter) Failing() bool { return l.health.failing() }
+func (l *Limiter) Failing(now time.Time) bool { return l.health.failing(now) }
 
 // Counts returns the counters.
 func (l *Limiter) Counts() Counts { return l.counts }
--- a/internal/limit/limit_test.go
+++ b/internal/limit/limit_test.go
@@ -199,7 +199,8 @@
 		l.Done(now, d.ID, limit.Failed)
 		now = now.Add(time.Second)
 	}
-	c.Check(l.Failing(), qt.IsTrue)
+	c.Check(l.Failing(now), qt.IsTrue)
+	c.Check(l.Failing(now.Add(time.Minute)), qt.IsFalse)
 	c.Check(l.Share(), qt.Equals, 1.0/8)
 }
 
--- /dev/null
+++ b/internal/target/budget.go
@@ -0,0 +1,33 @@
+package target
+
+import "sync"
+
+const (
+	// retryShare is the part of requests that may be tried a second time.
+	retryShare = 0.1
+	// retryBurst bounds the tries that are saved up.
+	retryBurst = 10
+)
+
+// budget bounds second tries to a share of all requests.
+type budget struct {
+	mu sync.Mutex
+	// tokens is between 0 and retryBurst.
+	tokens float64
+}
+
+func (b *budget) earn() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.tokens = min(retryBurst, b.tokens+retryShare)
+}
+
+func (b *budget) spend() bool {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if b.tokens < 1 {
+		return false
+	}
+	b.tokens--
+	return true
+}
--- a/internal/target/header.go
+++ b/internal/target/header.go
@@ -19,6 +19,8 @@
 	// headerRequest carries an ID for each try. A target that returns it lets the
 	// agent recognise an answer to another request.
 	headerRequest = "Mangokeel-Request"
+	// headerHop marks requests that an agent handed over.
+	headerHop = "Mangokeel-Hop"
 )
 
 // hopByHop are the headers that concern one connection only (RFC 9110, 7.6.1).
--- a/internal/target/relay.go
+++ b/internal/target/relay.go
@@ -3,7 +3,9 @@
 import (
 	"context"
 	"io"
+	"net"
 	"net/http"
+	"net/netip"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -25,48 +27,37 @@
 // errEndless marks an answer whose end cannot be told from a broken connection.
 var errEndless = errors.New("answer with neither length nor chunks")
 
-// ServeHTTP relays one request.
-func (h *Handler) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	deadline, err := deadlineOf(r.Header)
+type dialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
+
+// outgoing returns the request for one try at addr.
+func (q *request) outgoing(ctx context.Context, addr netip.AddrPort) (*http.Request, error) {
+	out, err := http.NewRequestWithContext(ctx, q.Method, "http://"+addr.String()+q.URL.RequestURI(), q.reader())
 	if err != nil {
-		http.Error(w, err.Error(), http.StatusBadRequest)
-		return
+		return nil, err
 	}
-	ctx := r.Context()
-	if !deadline.IsZero() {
-		var cancel context.CancelFunc
-		ctx, cancel = context.WithDeadline(ctx, deadline)
-		defer cancel()
+	forward(out.Header, q.Header)
+	out.Header.Del(headerHop)
+	out.Host = q.Host
+	if !q.whole || len(q.body) > 0 {
+		out.ContentLength = q.ContentLength
 	}
-	h.running.Add(1)
-	defer h.running.Add(-1)
-	resp, err := h.send(ctx, h.single, r, r.Body)
-	if err != nil {
-		w.Header().Set(headerOutcome, "unknown")
-		http.Error(w, "the target did not answer", http.StatusGatewayTimeout)
-		return
-	}
-	defer resp.Body.Close()
-	copyAnswer(w, resp, func() {})
+	return out, nil
 }
 
 // send makes one try at the target and returns the answer, whose header belongs
 // to this request.
-func (h *Handler) send(ctx context.Context, t *http.Transport, r *http.Request, body io.Reader) (*http.Response, error) {
-	out, err := http.NewRequestWithContext(ctx, r.Method, "http://"+h.target.String()+r.URL.RequestURI(), body)
+func (h *Handler) send(ctx context.Context, q *request) (*http.Response, error) {
+	out, err := q.outgoing(ctx, h.target)
 	if err != nil {
 		return nil, err
 	}
-	forward(out.Header, r.Header)
-	out.Host = r.Host
-	out.ContentLength = r.ContentLength
 	id := newID()
 	out.Header.Set(headerRequest, id)
-	resp, err := t.RoundTrip(out)
+	resp, err := h.local.of(q).RoundTrip(out)
 	if err != nil {
 		return nil, err
 	}
-	if err := verify(resp, id); err != nil {
+	if err := h.verify(resp, id); err != nil {
 		resp.Body.Close()
 		return nil, err
 	}
@@ -75,26 +66,40 @@
 
 // verify refuses answers that belong to another request or whose end cannot be
 // recognised.
-func verify(resp *http.Response, id string) error {
+func (h *Handler) verify(resp *http.Response, id string) error {
 	if got := resp.Header.Get(headerRequest); got != "" && got != id {
+		h.metrics.foreign.Inc()
 		return errForeign
 	}
-	if resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
+	if endless(resp) {
 		return errEndless
 	}
 	resp.Header.Del(headerRequest)
 	return nil
 }
 
-// copyAnswer streams an answer to the caller and calls read once the target is no
-// longer needed or the caller has fallen behind. An answer that ends early aborts
-// the caller's stream.
-func copyAnswer(w http.ResponseWriter, resp *http.Response, read func()) {
+// endless reports whether the end of an answer cannot be told from a broken
+// connection.
+func endless(resp *http.Response) bool {
+	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
+}
+
+// notSent reports whether an error means that nothing was sent.
+func notSent(err error) bool {
+	var op *net.OpError
+	return errors.As(err, &op) && op.Op == "dial"
+}
+
+// copyAnswer streams an answer to the caller. It calls behind when the caller has
+// fallen behind, and ended when the target has sent everything or failed. An
+// answer that ends early aborts the caller's stream.
+func (h *Handler) copyAnswer(w http.ResponseWriter, resp *http.Response, behind func(), ended func(error)) {
 	forward(w.Header(), resp.Header)
 	w.WriteHeader(resp.StatusCode)
 	done := make(chan struct{})
 	defer close(done)
-	if err := copyBody(w, pump(resp.Body, done, read)); err != nil {
+	if err := copyBody(w, pump(resp.Body, done, behind, ended)); err != nil {
+		h.metrics.truncated.Inc()
 		panic(http.ErrAbortHandler)
 	}
 	for k, v := range resp.Trailer {
@@ -109,19 +114,21 @@
 }
 
 // pump reads body ahead of the caller. It ends when body ends or done is closed.
-func pump(body io.Reader, done <-chan struct{}, read func()) <-chan chunk {
+func pump(body io.Reader, done <-chan struct{}, behind func(), ended func(error)) <-chan chunk {
 	out := make(chan chunk, chunksAhead)
 	go func() {
 		defer close(out)
-		defer read()
 		for {
 			b := make([]byte, chunkSize)
 			n, err := body.Read(b)
+			if err != nil {
+				ended(err)
+			}
 			c := chunk{b: b[:n], err: err}
 			select {
 			case out <- c:
 			default:
-				read()
+				behind()
 				select {
 				case out <- c:
 				case <-done:
@@ -139,9 +146,10 @@
 // copyBody writes the chunks and flushes whenever none is waiting.
 func copyBody(w http.ResponseWriter, chunks <-chan chunk) error {
 	rc := http.NewResponseController(w)
+	// Not every ResponseWriter has write deadlines.
+	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
 	for c := range chunks {
 		if len(c.b) > 0 {
-			// Not every ResponseWriter has write deadlines.
 			_ = rc.SetWriteDeadline(time.Now().Add(stallTimeout))
 			if _, err := w.Write(c.b); err != nil {
 				return err
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -7,22 +7,30 @@
 //	h.Update(state.Service(id), own)
 //	srv := &http.Server{Handler: h}
 //
-// An answer that ends early at the target ends with an aborted stream at the
-// caller, never as if it were complete.
+// Each request is classified by the service's rules and admitted by a
+// limit.Limiter. A request that is known not to have run, or that is idempotent,
+// is offered once to another agent; what remains is refused with the time to try
+// again. An answer that ends early at the target ends with an aborted stream at
+// the caller, never as if it were complete.
 package target
 
 import (
 	"net"
 	"net/http"
 	"net/netip"
+	"sync"
 	"sync/atomic"
 	"time"
 
 	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"mangokeel"
 	"mangokeel/internal/timer"
 	"mangokeel/internal/view"
+	"mangokeel/internal/wire"
 )
 
 // Bounds on the connections to the target.
@@ -34,6 +42,8 @@
 	idleTimeout = 4 * time.Second
 	// maxHeader bounds the header of an answer in bytes.
 	maxHeader = 64 << 10
+	// probePeriod separates dials to a target that cannot be reached.
+	probePeriod = 500 * time.Millisecond
 )
 
 // FullWeight is the weight of a target that can bear its whole configured limit.
@@ -41,18 +51,34 @@
 
 // Handler relays requests to one target.
 type Handler struct {
-	target netip.AddrPort
-	timers mangokeel.Timers
-	// reused keeps connections open between requests.
-	reused *http.Transport
-	// single opens a connection for each request. net/http repeats requests on a
-	// reused connection that breaks, which must not happen to those that run at
-	// most once.
-	single  *http.Transport
-	running atomic.Int64
+	target   netip.AddrPort
+	timers   mangokeel.Timers
+	log      log.Logger
+	registry prometheus.Registerer
+	metrics  *metrics
+	gate     *gate
+	budget   budget
+	// local and peers carry requests to the target and to other agents.
+	local, peers transports
+	// active counts the requests in the handler, background work included.
+	active  atomic.Int64
 	current atomic.Pointer[current]
+	// buffered is the size of the request bodies held.
+	buffered atomic.Int64
+	// left is set by Leave.
+	left atomic.Bool
+
+	mu sync.Mutex
+	// down is set while the target cannot be reached; probe runs as long.
+	down  bool
+	probe mangokeel.Subscription
 }
 
+// transports has one transport that keeps connections open between requests, and
+// one that opens a connection for each. net/http repeats requests on a reused
+// connection that breaks, which must not happen to those that run at most once.
+type transports struct{ reused, single *http.Transport }
+
 // current is what the latest view says.
 type current struct {
 	service *view.Service
@@ -65,26 +91,40 @@
 // WithTimers sets the timer service; the default is the real one.
 func WithTimers(t mangokeel.Timers) Option { return func(h *Handler) { h.timers = t } }
 
+// WithLogger sets the logger for changes of the target's state.
+func WithLogger(l log.Logger) Option { return func(h *Handler) { h.log = l } }
+
+// WithRegistry adds the handler's metrics to r.
+func WithRegistry(r prometheus.Registerer) Option { return func(h *Handler) { h.registry = r } }
+
 // New returns a handler for the target at addr.
 func New(addr netip.AddrPort, opts ...Option) (*Handler, error) {
 	if !addr.IsValid() {
 		return nil, errors.Newf("target address %q is not valid", addr)
 	}
-	h := &Handler{target: addr, timers: timer.Real{}}
+	h := &Handler{target: addr, timers: timer.Real{}, log: log.NewNopLogger(), metrics: newMetrics()}
 	for _, o := range opts {
 		o(h)
 	}
-	h.reused = newTransport()
-	h.single = newTransport()
-	h.single.DisableKeepAlives = true
+	h.gate = newGate(h.timers)
+	h.local = newTransports((&net.Dialer{Timeout: dialTimeout}).DialContext)
+	h.peers = newTransports(h.dialPeer)
 	h.current.Store(&current{})
+	if h.registry != nil {
+		h.register(h.registry)
+	}
 	return h, nil
 }
 
-func newTransport() *http.Transport {
-	d := &net.Dialer{Timeout: dialTimeout}
+func newTransports(dial dialFunc) transports {
+	t := transports{newTransport(dial), newTransport(dial)}
+	t.single.DisableKeepAlives = true
+	return t
+}
+
+func newTransport(dial dialFunc) *http.Transport {
 	return &http.Transport{
-		DialContext:            d.DialContext,
+		DialContext:            dial,
 		DisableCompression:     true,
 		MaxIdleConnsPerHost:    64,
 		IdleConnTimeout:        idleTimeout,
@@ -92,20 +132,97 @@
 	}
 }
 
+// of returns the transport for a request.
+func (t transports) of(q *request) *http.Transport {
+	if q.once {
+		return t.single
+	}
+	return t.reused
+}
+
+func (t transports) close() {
+	t.reused.CloseIdleConnections()
+	t.single.CloseIdleConnections()
+}
+
 // Update sets the service record and the agent's own handle. The service may be
 // nil before the first view.
 func (h *Handler) Update(s *view.Service, own mangokeel.Handle) {
 	h.current.Store(&current{service: s, own: own})
+	if s != nil {
+		h.gate.update(s)
+	}
 }
 
-// Weight is the share of work that the target can bear, 0 to FullWeight.
-func (h *Handler) Weight() uint32 { return FullWeight }
+// Leave makes the handler pass new requests on to other agents. It does so by
+// itself once the view says that the target leaves or that its availability zone
+// is out of service.
+func (h *Handler) Leave() { h.left.Store(true) }
 
-// Running is the number of requests that the target works on.
-func (h *Handler) Running() int { return int(h.running.Load()) }
+// Weight is the share of work that the target can bear, 0 to FullWeight: 0 while
+// it cannot be reached, 1 while its requests fail, else its limit in steps of a
+// factor of two, so that control learns of few changes.
+func (h *Handler) Weight() uint32 {
+	if h.unreachable() {
+		return 0
+	}
+	s := h.gate.stats()
+	if s.failing {
+		return 1
+	}
+	w := uint32(FullWeight)
+	for w > 1 && s.share < float64(w)/FullWeight {
+		w /= 2
+	}
+	return w
+}
+
+// Running is the number of requests in the handler, those that wait and those
+// whose answers are under way included.
+func (h *Handler) Running() int { return int(h.active.Load()) }
 
-// Close ends idle connections to the target.
+// Load returns the handler's part of the report to control.
+func (h *Handler) Load() *wire.Load {
+	s := h.gate.stats()
+	return &wire.Load{Weight: h.Weight(), Running: uint32(s.running), Queued: uint32(s.queued), Refused: s.Refused}
+}
+
+// Close ends idle connections and the probe of the target.
 func (h *Handler) Close() {
-	h.reused.CloseIdleConnections()
-	h.single.CloseIdleConnections()
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.probe != nil {
+		h.probe.Cancel()
+	}
+	h.local.close()
+	h.peers.close()
+}
+
+func (h *Handler) unreachable() bool {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	return h.down
+}
+
+// setDown records whether the target can be reached. While it cannot, dials at
+// intervals find out when it is back.
+func (h *Handler) setDown(down bool) {
+	h.mu.Lock()
+	defer h.mu.Unlock()
+	if h.down == down {
+		return
+	}
+	h.down = down
+	_ = level.Info(h.log).Log("msg", "target changed", "reachable", !down)
+	if !down {
+		h.probe.Cancel()
+		return
+	}
+	h.probe = h.timers.Every(probePeriod, func(time.Time) {
+		c, err := net.DialTimeout("tcp", h.target.String(), dialTimeout)
+		if err == nil {
+			c.Close()
+			h.setDown(false)
+		}
+	})
 }
