agent: run requests through package target

The handler without admission was a placeholder. The target's handler gets the service's record with each view and is told when the agent leaves; its load is part of the report, with weight 0 while the target accepts no connections.

--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -5,6 +5,7 @@
 	"mangokeel/internal/agent"
 	"mangokeel/internal/jsonrpc"
 	"mangokeel/internal/process"
+	"mangokeel/internal/target"
 	"mangokeel/pkg/settings"
 )
 
@@ -14,7 +15,11 @@
 }
 
 func start(p *process.Process, cfg settings.Agent) error {
-	a, err := agent.New(cfg, jsonrpc.NewClient(), agent.WithLog(p.Log))
+	h, err := target.New(cfg.Target, target.WithLogger(p.Log), target.WithRegistry(p.Registry))
+	if err != nil {
+		return err
+	}
+	a, err := agent.New(cfg, jsonrpc.NewClient(), h, agent.WithLog(p.Log))
 	if err != nil {
 		return err
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -2,7 +2,7 @@
 // control, owns the flows that reach it, and stands for the service towards
 // callers: it ends their QUIC and HTTP connections, or relays their datagrams.
 //
-//	a, err := agent.New(cfg, remote, agent.WithHandler(h), agent.WithLog(log))
+//	a, err := agent.New(cfg, remote, target, agent.WithLog(log))
 //	err = a.Run()  // returns after Stop, when all flows have ended
 //
 // The parts are: the data socket, which asks package flow about each packet; the
@@ -31,21 +31,29 @@
 	"mangokeel/pkg/settings"
 )
 
-// Periods of the agent's own work.
-const (
-	// expirePeriod is the time between two looks at a part of the flow table.
-	expirePeriod = 250 * time.Millisecond
-	// fullWeight is the weight of a target without limits of its own.
-	fullWeight = 256
-)
+// expirePeriod is the time between two looks at a part of the flow table.
+const expirePeriod = 250 * time.Millisecond
+
+// Target runs requests at the target. Package target implements it.
+type Target interface {
+	http.Handler
+	// Update takes the service's record and the target's handle.
+	Update(s *view.Service, own mangokeel.Handle)
+	// Leave makes it hand new requests over to other agents.
+	Leave()
+	// Load is its part of the report to control.
+	Load() *wire.Load
+	// Running is the number of requests that have not ended.
+	Running() int
+	Close()
+}
 
 // Agent is the process beside one target.
 type Agent struct {
-	cfg     settings.Agent
-	handler http.Handler
-	weight  func() uint32
-	log     log.Logger
-	timers  mangokeel.Timers
+	cfg    settings.Agent
+	target Target
+	log    log.Logger
+	timers mangokeel.Timers
 	// cert is nil when no files are set; there is no QUIC endpoint then.
 	cert *tls.Certificate
 
@@ -75,14 +83,6 @@
 // Option changes an Agent.
 type Option func(*Agent)
 
-// WithHandler sets the handler of requests. Without it they are relayed to the
-// target without admission.
-func WithHandler(h http.Handler) Option { return func(a *Agent) { a.handler = h } }
-
-// WithWeight sets the function that says how much work the target can bear, from
-// 0 to 256.
-func WithWeight(fn func() uint32) Option { return func(a *Agent) { a.weight = fn } }
-
 // WithLog sets the logger.
 func WithLog(l log.Logger) Option { return func(a *Agent) { a.log = l } }
 
@@ -90,11 +90,10 @@
 func WithTimers(t mangokeel.Timers) Option { return func(a *Agent) { a.timers = t } }
 
 // New opens the agent's sockets and joins the roster.
-func New(cfg settings.Agent, remote mangokeel.Remote, opts ...Option) (*Agent, error) {
+func New(cfg settings.Agent, remote mangokeel.Remote, target Target, opts ...Option) (*Agent, error) {
 	a := &Agent{
 		cfg:     cfg,
-		handler: relayTo(cfg.Target),
-		weight:  func() uint32 { return fullWeight },
+		target:  target,
 		log:     log.NewNopLogger(),
 		timers:  timer.Real{},
 		replies: &replies{},
@@ -144,7 +143,7 @@
 	_ = a.udp.SetReadBuffer(socketBuffer)
 	_ = a.udp.SetWriteBuffer(socketBuffer)
 	a.replies.conn = a.udp
-	a.streams = newStreams(l, a.counted(a.handler), a.accepts)
+	a.streams = newStreams(l, a.counted(a.target), a.accepts)
 	return nil
 }
 
@@ -244,6 +243,7 @@
 	if svc == nil || svc.Targets[reg.handle] == nil {
 		return
 	}
+	a.target.Update(svc, reg.handle)
 	leaving := svc.Targets[reg.handle].GetState() == wire.State_STATE_LEAVING
 	if reg.endpoint != nil {
 		reg.endpoint.keys.Store(svc.Keys)
@@ -289,7 +289,7 @@
 
 // report is what control learns with each poll.
 func (a *Agent) report() view.Report {
-	r := view.Report{Load: &wire.Load{Weight: a.weightNow(), Running: uint32(a.counters.running.Load())}}
+	r := view.Report{Load: a.load()}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.reg == nil {
@@ -313,13 +313,15 @@
 	}
 }
 
-// weightNow is 0 while the target does not accept connections or packets.
-func (a *Agent) weightNow() uint32 {
+// load returns the target's load. The weight is 0 while the target does not accept
+// connections or packets.
+func (a *Agent) load() *wire.Load {
+	l := a.target.Load()
 	refused := a.counters.refusedAt.Load()
 	if !a.probe.up() || (refused != 0 && a.timers.Now().Sub(time.Unix(0, refused)) < refusalKept) {
-		return 0
+		l.Weight = 0
 	}
-	return min(a.weight(), fullWeight)
+	return l
 }
 
 // flows returns the number of open flows. The caller holds mu.
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -26,6 +26,7 @@
 func (a *Agent) Run() error {
 	<-a.stop
 	_ = level.Info(a.log).Log("msg", "leaving")
+	a.target.Leave()
 	a.drain()
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
@@ -81,7 +82,7 @@
 func (a *Agent) busy() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	n := a.flows() + int(a.counters.running.Load())
+	n := a.flows() + max(int(a.counters.running.Load()), a.target.Running())
 	if a.reg != nil && a.reg.endpoint != nil {
 		// Handshakes that have begun are in the table only.
 		n += a.reg.table.Len()
@@ -105,6 +106,7 @@
 	a.streams.close()
 	a.udp.Close()
 	a.done.Wait()
+	a.target.Close()
 }
 
 // Leaving reports whether control knows that the target leaves.
--- a/internal/agent/endpoint.go
+++ b/internal/agent/endpoint.go
@@ -80,7 +80,7 @@
 	e := &endpoint{
 		service: reg.service,
 		handle:  reg.handle,
-		handler: a.counted(a.handler),
+		handler: a.counted(a.target),
 		tls:     http3.ConfigureTLSConfig(&tls.Config{Certificates: []tls.Certificate{*a.cert}, MinVersion: tls.VersionTLS13}),
 		conns:   map[*quic.Conn]*connection{},
 	}
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -79,7 +79,7 @@
 		Control:  a.follower.Control(),
 		Leaving:  a.Leaving(),
 		Running:  a.counters.running.Load(),
-		Weight:   a.weightNow(),
+		Weight:   a.load().GetWeight(),
 	}
 	if l := a.replies.live.Load(); l != nil {
 		s.Balancers = *l
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -1,9 +1,7 @@
 package agent
 
 import (
-	"io"
 	"net"
-	"net/http"
 	"net/netip"
 	"sync/atomic"
 	"syscall"
@@ -43,47 +41,3 @@
 		p.down.Store(true)
 	}
 }
-
-// relayTo returns a handler that passes requests on to the target without
-// admission.
-func relayTo(target netip.AddrPort) http.Handler {
-	client := &http.Transport{MaxIdleConnsPerHost: 64, DisableCompression: true}
-	return http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
-		out := r.Clone(r.Context())
-		out.URL.Scheme, out.URL.Host = "http", target.String()
-		out.RequestURI = ""
-		resp, err := client.RoundTrip(out)
-		if err != nil {
-			http.Error(w, "target failed", http.StatusBadGateway)
-			return
-		}
-		defer resp.Body.Close()
-		for k, v := range resp.Header {
-			w.Header()[k] = v
-		}
-		w.WriteHeader(resp.StatusCode)
-		copyFlushing(w, resp)
-	})
-}
-
-// copyFlushing passes on each part of a body as it arrives. A body that ends
-// early aborts the response, so that the caller does not take it for a whole one.
-func copyFlushing(w http.ResponseWriter, resp *http.Response) {
-	b := make([]byte, 32<<10)
-	rc := http.NewResponseController(w)
-	for {
-		n, err := resp.Body.Read(b)
-		if n > 0 {
-			if _, werr := w.Write(b[:n]); werr != nil {
-				return
-			}
-			_ = rc.Flush()
-		}
-		if err != nil {
-			if !errors.Is(err, io.EOF) {
-				panic(http.ErrAbortHandler)
-			}
-			return
-		}
-	}
-}
