standin: parse addresses on the command line; demo on a network of its own

Cause: the flags library ignores struct types without an Unmarshaler, so targets got no address ("address invalid AddrPort") and the fabric listened on a random port; two runs of the demonstration at once met on the same ports.

--- a/cmd/standin/caller.go
+++ b/cmd/standin/caller.go
@@ -4,7 +4,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
-	"net/netip"
+	"net"
 	"os"
 	"time"
 
@@ -12,23 +12,23 @@
 )
 
 type callerCommand struct {
-	Address   netip.AddrPort `long:"address" required:"true" description:"address of the service at the fabric" value-name:"IP:PORT"`
-	Cert      string         `long:"cert" required:"true" description:"certificate of the service" value-name:"FILE"`
-	Duration  time.Duration  `long:"duration" default:"30s"`
-	Feeds     int            `long:"feeds" default:"0" description:"callers that keep a feed open"`
-	Downloads int            `long:"downloads" default:"0" description:"callers that fetch one long download"`
-	Bookers   int            `long:"bookers" default:"0" description:"callers that send bookings"`
-	Readers   int            `long:"readers" default:"0" description:"callers that read"`
-	Pause     time.Duration  `long:"pause" default:"500ms" description:"mean time between requests of one caller"`
-	Deadline  time.Duration  `long:"deadline" default:"8s" description:"time a caller waits for one answer, resends included"`
-	Seed      uint64         `long:"seed" default:"1"`
-	Report    string         `long:"report" required:"true" description:"file for the counts" value-name:"FILE"`
+	Address   address       `long:"address" required:"true" description:"address of the service at the fabric" value-name:"IP:PORT"`
+	Cert      string        `long:"cert" required:"true" description:"certificate of the service" value-name:"FILE"`
+	Duration  time.Duration `long:"duration" default:"30s"`
+	Feeds     int           `long:"feeds" default:"0" description:"callers that keep a feed open"`
+	Downloads int           `long:"downloads" default:"0" description:"callers that fetch one long download"`
+	Bookers   int           `long:"bookers" default:"0" description:"callers that send bookings"`
+	Readers   int           `long:"readers" default:"0" description:"callers that read"`
+	Pause     time.Duration `long:"pause" default:"500ms" description:"mean time between requests of one caller"`
+	Deadline  time.Duration `long:"deadline" default:"8s" description:"time a caller waits for one answer, resends included"`
+	Seed      uint64        `long:"seed" default:"1"`
+	Report    string        `long:"report" required:"true" description:"file for the counts" value-name:"FILE"`
 }
 
 // Execute implements flags.Commander.
 func (c *callerCommand) Execute([]string) error {
 	l := standin.Load{
-		Address: c.Address, Cert: c.Cert, Duration: c.Duration,
+		Address: c.Address.AddrPort, Cert: c.Cert, Duration: c.Duration,
 		Feeds: c.Feeds, Downloads: c.Downloads, Bookers: c.Bookers, Readers: c.Readers,
 		Pause: c.Pause, Deadline: c.Deadline, Seed: c.Seed,
 	}
@@ -45,10 +45,11 @@
 
 type certCommand struct {
 	Dir string `long:"dir" required:"true" description:"folder for cert.pem and key.pem" value-name:"DIR"`
+	IP  string `long:"ip" default:"127.0.0.1" description:"address that callers connect to"`
 }
 
 // Execute implements flags.Commander.
-func (c *certCommand) Execute([]string) error { return standin.WriteCert(c.Dir) }
+func (c *certCommand) Execute([]string) error { return standin.WriteCert(c.Dir, net.ParseIP(c.IP)) }
 
 type verdictCommand struct {
 	Name    string   `long:"name" default:"demo" description:"first word of the line of counts"`
--- a/cmd/standin/fabric.go
+++ b/cmd/standin/fabric.go
@@ -18,13 +18,13 @@
 
 // fabricCommand runs the fabric in front of one service until SIGTERM.
 type fabricCommand struct {
-	Listen    netip.AddrPort `long:"listen" required:"true" description:"public address of the service, UDP and TCP" value-name:"IP:PORT"`
-	Balancer  []string       `long:"balancer" description:"service socket of a balancer; the port defaults to that of --listen" value-name:"IP[:PORT]"`
-	Balancers string         `long:"balancers" description:"file with one balancer on each line, read again while running; used in place of --balancer" value-name:"FILE"`
-	Seed      uint64         `long:"seed" default:"1" description:"seed of all random choices"`
-	Loss      float64        `long:"loss" description:"share of packets to lose, 0 to 1"`
-	Duplicate float64        `long:"duplicate" description:"share of packets to send twice, 0 to 1"`
-	Reorder   float64        `long:"reorder" description:"share of packets to delay by up to 5 ms, 0 to 1"`
+	Listen    address  `long:"listen" required:"true" description:"public address of the service, UDP and TCP" value-name:"IP:PORT"`
+	Balancer  []string `long:"balancer" description:"service socket of a balancer; the port defaults to that of --listen" value-name:"IP[:PORT]"`
+	Balancers string   `long:"balancers" description:"file with one balancer on each line, read again while running; used in place of --balancer" value-name:"FILE"`
+	Seed      uint64   `long:"seed" default:"1" description:"seed of all random choices"`
+	Loss      float64  `long:"loss" description:"share of packets to lose, 0 to 1"`
+	Duplicate float64  `long:"duplicate" description:"share of packets to send twice, 0 to 1"`
+	Reorder   float64  `long:"reorder" description:"share of packets to delay by up to 5 ms, 0 to 1"`
 }
 
 // Execute implements flags.Commander.
@@ -33,7 +33,7 @@
 	if err != nil {
 		return err
 	}
-	f, err := standin.NewFabric(c.Listen, standin.WithSeed(c.Seed), standin.WithBalancers(first),
+	f, err := standin.NewFabric(c.Listen.AddrPort, standin.WithSeed(c.Seed), standin.WithBalancers(first),
 		standin.WithFaults(standin.Faults{Loss: c.Loss, Duplicate: c.Duplicate, Reorder: c.Reorder}))
 	if err != nil {
 		return err
--- a/cmd/standin/target.go
+++ b/cmd/standin/target.go
@@ -3,7 +3,6 @@
 import (
 	"context"
 	"net/http"
-	"net/netip"
 	"os/signal"
 	"syscall"
 	"time"
@@ -12,14 +11,14 @@
 )
 
 type targetCommand struct {
-	Listen  netip.AddrPort `long:"listen" required:"true" description:"address to serve on" value-name:"IP:PORT"`
-	Host    string         `long:"host" required:"true" description:"name of the host in answers"`
-	Slots   int            `long:"slots" default:"2" description:"requests that run at once"`
-	Service time.Duration  `long:"service" default:"10ms" description:"time of one request on a warm target"`
-	Cold    int            `long:"cold" default:"50" description:"requests until a cold target is warm"`
-	Factor  int            `long:"factor" default:"5" description:"how many times slower a cold target is"`
-	Bears   int            `long:"bears" default:"20" description:"present requests a cold target survives"`
-	Down    time.Duration  `long:"down" default:"3s" description:"time a target that fell over stays down"`
+	Listen  address       `long:"listen" required:"true" description:"address to serve on" value-name:"IP:PORT"`
+	Host    string        `long:"host" required:"true" description:"name of the host in answers"`
+	Slots   int           `long:"slots" default:"2" description:"requests that run at once"`
+	Service time.Duration `long:"service" default:"10ms" description:"time of one request on a warm target"`
+	Cold    int           `long:"cold" default:"50" description:"requests until a cold target is warm"`
+	Factor  int           `long:"factor" default:"5" description:"how many times slower a cold target is"`
+	Bears   int           `long:"bears" default:"20" description:"present requests a cold target survives"`
+	Down    time.Duration `long:"down" default:"3s" description:"time a target that fell over stays down"`
 }
 
 // Execute implements flags.Commander.
--- a/standin/cert.go
+++ b/standin/cert.go
@@ -16,9 +16,9 @@
 	"github.com/cockroachdb/errors"
 )
 
-// WriteCert writes a self-signed certificate for 127.0.0.1 and its key to
+// WriteCert writes a self-signed certificate for 127.0.0.1 and more, and its key, to
 // cert.pem and key.pem in dir. Callers of the stand-in trust the certificate.
-func WriteCert(dir string) error {
+func WriteCert(dir string, more ...net.IP) error {
 	key, err := ecdsa.GenerateKey(elliptic.P256(), rand.Reader)
 	if err != nil {
 		return errors.Wrap(err, "make key")
@@ -28,7 +28,7 @@
 		Subject:               pkix.Name{CommonName: "mangokeel stand-in"},
 		NotBefore:             time.Now().Add(-time.Hour),
 		NotAfter:              time.Now().Add(7 * 24 * time.Hour),
-		IPAddresses:           []net.IP{net.IPv4(127, 0, 0, 1)},
+		IPAddresses:           append(more, net.IPv4(127, 0, 0, 1)),
 		KeyUsage:              x509.KeyUsageDigitalSignature | x509.KeyUsageCertSign,
 		IsCA:                  true,
 		BasicConstraintsValid: true,
--- a/standin/demo.sh
+++ b/standin/demo.sh
@@ -7,6 +7,8 @@
 bin=$(cd "$1" && pwd)
 seconds=${2:-30}
 name=${NAME:-demo}
+# Runs with different networks do not meet.
+net=127.0.${NETWORK:-0}
 dir=$(mktemp -d)
 pids=()
 
@@ -32,7 +34,6 @@
   shift
   "$@" >"$dir/$n.log" 2>&1 &
   pids+=($!)
-  eval "pid_${n//-/_}=$!"
 }
 
 wait_for() { # URL
@@ -44,7 +45,7 @@
   return 1
 }
 
-control=(127.0.0.1:17001 127.0.0.1:17002 127.0.0.1:17003)
+control=($net.1:17001 $net.1:17002 $net.1:17003)
 zones_sieste=(port-louis plaisance ebene)
 zones_cnoc=(dublin-1 dublin-2 dublin-3)
 client() { "$bin/mangokeel" --control "$(IFS=,; echo "${control[*]}")" --key "$dir/operator.key" "$@"; }
@@ -57,14 +58,14 @@
   cat >"$dir/control-$i.yaml" <<YAML
 name: control-$i
 zone: ${zones_sieste[$((i - 1))]}
-address: 127.0.0.1:1700$i
-status: 127.0.0.1:1701$i
+address: $net.1:1700$i
+status: $net.1:1701$i
 data: $dir/control-$i
 operator: $hash
 members:
-  - {name: control-1, address: 127.0.0.1:17001}
-  - {name: control-2, address: 127.0.0.1:17002}
-  - {name: control-3, address: 127.0.0.1:17003}
+  - {name: control-1, address: $net.1:17001}
+  - {name: control-2, address: $net.1:17002}
+  - {name: control-3, address: $net.1:17003}
 YAML
   start "control-$i" "$bin/control" --config "$dir/control-$i.yaml"
 done
@@ -73,7 +74,7 @@
 # service TEAM NAME PORT ZONES RULES
 service() {
   cat >"$dir/$1-$2.yaml" <<YAML
-address: 127.0.0.1:$3
+address: $net.1:$3
 protocol: http
 zones: [$4]
 slots: 2
@@ -101,15 +102,15 @@
 service cnoc patterns 17083 "dublin-1, dublin-2, dublin-3"
 
 echo "$name: starting balancers, targets, agents and the fabric"
-"$bin/standin" cert --dir "$dir"
+"$bin/standin" cert --dir "$dir" --ip "$net.1"
 controls=$(IFS=,; echo "${control[*]}")
 for i in 1 2 3; do
   cat >"$dir/balancer-$i.yaml" <<YAML
 name: balancer-$i
 zone: ${zones_sieste[$((i - 1))]}
-address: 127.0.0.1$i
-data: 127.0.0.1$i:17100
-status: 127.0.0.1$i:17101
+address: $net.1$i
+data: $net.1$i:17100
+status: $net.1$i:17101
 control: [$controls]
 YAML
   start "balancer-$i" "$bin/balancer" --config "$dir/balancer-$i.yaml"
@@ -123,26 +124,26 @@
 name: $n
 zone: $5
 service: /$1/services/$2
-address: 127.0.0.1:$4
-target: 127.0.0.1:$(($4 + 5))
-status: 127.0.0.1:$(($4 + 6))
+address: $net.1:$4
+target: $net.1:$(($4 + 5))
+status: $net.1:$(($4 + 6))
 control: [$controls]
 cert: $dir/cert.pem
 key: $dir/key.pem
 YAML
-  start "target-$n" "$bin/standin" target --listen "127.0.0.1:$(($4 + 5))" --host "$n"
+  start "target-$n" "$bin/standin" target --listen "$net.1:$(($4 + 5))" --host "$n"
   start "agent-$n" "$bin/agent" --config "$dir/$n.yaml"
-  ledgers+=(--target "http://127.0.0.1:$(($4 + 5))")
+  ledgers+=(--target "http://$net.1:$(($4 + 5))")
 }
 for i in 1 2 3 4 5 6 7; do host sieste dispatch "$i" $((17200 + 10 * i)) "${zones_sieste[$((i % 3))]}"; done
 for i in 1 2 3; do host sieste manuals "$i" $((17300 + 10 * i)) "${zones_sieste[$((i % 3))]}"; done
 for i in 1 2 3 4 5 6 7; do host cnoc orders "$i" $((17400 + 10 * i)) "${zones_cnoc[$((i % 3))]}"; done
 for i in 1 2 3; do host cnoc patterns "$i" $((17500 + 10 * i)) "${zones_cnoc[$((i % 3))]}"; done
 for p in 17080 17081 17082 17083; do
-  start "fabric-$p" "$bin/standin" fabric --listen "127.0.0.1:$p" \
-    --balancer "127.0.0.11:$p" --balancer "127.0.0.12:$p" --balancer "127.0.0.13:$p"
+  start "fabric-$p" "$bin/standin" fabric --listen "$net.1:$p" \
+    --balancer "$net.11:$p" --balancer "$net.12:$p" --balancer "$net.13:$p"
 done
-for p in 17080 17081 17082 17083; do wait_for "127.0.0.11:$p"; wait_for "127.0.0.13:$p"; done
+for p in 17080 17081 17082 17083; do wait_for "$net.11:$p"; wait_for "$net.13:$p"; done
 sleep 2
 
 echo "$name: load for $seconds s"
@@ -152,7 +153,7 @@
 callers() {
   local n=$1 p=$2
   shift 2
-  "$bin/standin" caller --address "127.0.0.1:$p" --cert "$dir/cert.pem" --duration "${seconds}s" \
+  "$bin/standin" caller --address "$net.1:$p" --cert "$dir/cert.pem" --duration "${seconds}s" \
     --seed "${SEED:-1}" --report "$dir/$n.json" "$@" >"$dir/caller-$n.log" 2>&1 &
   callers+=($!)
   pids+=($!)
