--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -53,10 +53,13 @@
 	for {
 		changed := c.machine.Changed()
 		u := c.machine.Update(mangokeel.Revision(req.GetRevision()), req.GetRole(), c.serviceOf(req))
-		if !roster.Empty(u) {
+		empty := roster.Empty(u)
+		if empty {
+			c.heard.reached(req, u.GetRevision())
+		}
+		if wait <= 0 || !empty {
 			return c.answer(req, u), nil
 		}
-		c.heard.reached(req, u.GetRevision())
 		select {
 		case <-changed:
 		case <-ctx.Done():
