--- a/cmd/mangokeel/commands.go
+++ b/cmd/mangokeel/commands.go
@@ -265,7 +265,7 @@
 	return &resp, err
 }
 
-func printEntries(w io.Writer, entries []*wire.Entry) {
+func printEntries(w io.Writer, entries []*wire.HistoryEntry) {
 	for _, e := range entries {
 		fmt.Fprintf(w, "%d  %s  %s\n", e.GetRevision(), time.UnixMilli(e.GetTimeMs()).UTC().Format(time.RFC3339), e.GetAuthor())
 		printEdits(w, e.GetEdits())
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -224,7 +224,7 @@
 	if !c.leases.begin(now, c.log.Status()) {
 		return
 	}
-	batch := &wire.Batch{}
+	batch := &wire.CommandBatch{}
 	batch.Commands = append(batch.Commands, c.ended(now)...)
 	batch.Commands = append(batch.Commands, c.loads(now)...)
 	if len(batch.GetCommands()) == 0 {
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -193,7 +193,7 @@
 }
 
 func (q *queue) run(batch []*queued) {
-	body := &wire.Batch{}
+	body := &wire.CommandBatch{}
 	for _, x := range batch {
 		body.Commands = append(body.Commands, x.cmd)
 	}
--- a/internal/roster/snapshot.go
+++ b/internal/roster/snapshot.go
@@ -18,7 +18,7 @@
 func (m *Machine) Snapshot() ([]byte, error) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
-	x := &wire.Snapshot{
+	x := &wire.RosterSnapshot{
 		Revision: m.revision, NextHandle: m.nextHandle, NextService: m.nextService, NextBalancer: m.nextBalancer,
 		Floor: m.all.floor,
 	}
@@ -40,7 +40,7 @@
 	return proto.MarshalOptions{Deterministic: true}.Marshal(x)
 }
 
-func include(x *wire.Snapshot, e entry) {
+func include(x *wire.RosterSnapshot, e entry) {
 	switch {
 	case e.service != nil:
 		x.Services = append(x.Services, e.service)
@@ -53,7 +53,7 @@
 
 // Restore implements mangokeel.Machine.
 func (m *Machine) Restore(r mangokeel.Revision, snapshot []byte) error {
-	var x wire.Snapshot
+	var x wire.RosterSnapshot
 	if err := proto.Unmarshal(snapshot, &x); err != nil {
 		return errors.Mark(errors.Wrap(err, "decode snapshot"), mangokeel.ErrCorrupt)
 	}
@@ -86,7 +86,7 @@
 	maps.Copy(t.keys, x.GetKeys())
 }
 
-func (m *Machine) restoreRecords(x *wire.Snapshot) error {
+func (m *Machine) restoreRecords(x *wire.RosterSnapshot) error {
 	for _, r := range x.GetServices() {
 		if r.GetGone() {
 			continue
@@ -119,7 +119,7 @@
 }
 
 // restoreJournals enters all records and tombstones in order of their revisions.
-func (m *Machine) restoreJournals(x *wire.Snapshot) {
+func (m *Machine) restoreJournals(x *wire.RosterSnapshot) {
 	var entries []entry
 	for _, r := range x.GetServices() {
 		entries = append(entries, entry{service: r})
--- a/internal/roster/tree.go
+++ b/internal/roster/tree.go
@@ -36,7 +36,7 @@
 	revision  uint64
 	documents map[string]string
 	// history is in rising order of revision.
-	history []*wire.Entry
+	history []*wire.HistoryEntry
 	// keys maps the names of keys to the SHA-256 hashes of their values.
 	keys map[string][]byte
 }
@@ -198,7 +198,7 @@
 func (s *step) accept(c *wire.Change, d *draft) {
 	t := s.m.team(c.GetTeam())
 	t.revision = s.revision
-	t.record(&wire.Entry{Revision: s.revision, Team: t.name, Author: c.GetAuthor(), TimeMs: c.GetTimeMs(), Edits: d.apply(t)})
+	t.record(&wire.HistoryEntry{Revision: s.revision, Team: t.name, Author: c.GetAuthor(), TimeMs: c.GetTimeMs(), Edits: d.apply(t)})
 	for _, path := range slices.Sorted(maps.Keys(d.documents)) {
 		if _, kind, _, _ := SplitPath(path); kind == kindServices && d.services[path] == nil {
 			if svc := s.m.services[s.m.index.paths[path]]; svc != nil {
@@ -232,7 +232,7 @@
 	return edits
 }
 
-func (t *team) record(e *wire.Entry) {
+func (t *team) record(e *wire.HistoryEntry) {
 	t.history = append(t.history, e)
 	if len(t.history) > maxHistory {
 		t.history = slices.Clone(t.history[len(t.history)-maxHistory:])
@@ -367,14 +367,14 @@
 
 // History returns the team's accepted changes after a revision and the subtree's
 // revision. It is false when older changes than those kept would be needed.
-func (m *Machine) History(name string, after uint64) (entries []*wire.Entry, revision uint64, whole bool) {
+func (m *Machine) History(name string, after uint64) (entries []*wire.HistoryEntry, revision uint64, whole bool) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
 	t := m.teams[name]
 	if t == nil {
 		return nil, 0, true
 	}
-	i := slices.IndexFunc(t.history, func(e *wire.Entry) bool { return e.GetRevision() > after })
+	i := slices.IndexFunc(t.history, func(e *wire.HistoryEntry) bool { return e.GetRevision() > after })
 	if i < 0 {
 		return nil, t.revision, true
 	}
@@ -383,7 +383,7 @@
 
 // Diff returns the edits that lead from the state before the first entry to the
 // state at a revision, in order of their paths. Revision 0 is the last entry's.
-func Diff(entries []*wire.Entry, until uint64) []*wire.Edit {
+func Diff(entries []*wire.HistoryEntry, until uint64) []*wire.Edit {
 	edits := map[string]*wire.Edit{}
 	for _, e := range entries {
 		if until != 0 && e.GetRevision() > until {
