--- a/cmd/mangokeel/commands.go
+++ b/cmd/mangokeel/commands.go
@@ -51,7 +51,7 @@
 		{"zone", "take an availability zone out or back", "Takes an availability zone of a team out of service, or back into it.", &zoneCommand{c: c}},
 		{"drain", "drain a host", "Drains the targets of a team on a host: they get no new flows and keep those they have.", &drainCommand{c: c}},
 		{"undrain", "end the drain of a host", "Returns the targets of a team on a host to service.", &drainCommand{c: c, end: true}},
-		{"replace", "replace a control instance", "Admits the control instance NEW in place of OLD.", &replaceCommand{c: c}},
+		{"replace", "replace a control instance", "Admits the control instance at NEW in place of OLD. OLD leaves once NEW has caught up.", &replaceCommand{c: c}},
 		{"key", "issue, revoke or hash keys", "Issues or revokes a team's key, or makes an operators' key.", &keyCommand{c: c}},
 		{"dump", "print the state of a process", "Prints the state of a process from the /dump page of its status address.", &dumpCommand{c: c}},
 		{"top", "show flows and load of targets", "Shows flows, load and availability zone of the targets.", &topCommand{c: c}},
@@ -428,9 +428,8 @@
 type replaceCommand struct {
 	c    *client
 	Args struct {
-		Old     string `positional-arg-name:"OLD"`
-		New     string `positional-arg-name:"NEW"`
-		Address string `positional-arg-name:"ADDRESS"`
+		Old     string `positional-arg-name:"OLD" description:"id or name of the instance that leaves"`
+		Address string `positional-arg-name:"NEW" description:"ip:port of the instance that takes its place"`
 	} `positional-args:"yes" required:"yes"`
 }
 
@@ -441,11 +440,11 @@
 		return err
 	}
 	var resp wire.ReplaceReply
-	req := &wire.ReplaceRequest{Key: key, Old: x.Args.Old, New: x.Args.New, Address: x.Args.Address}
+	req := &wire.ReplaceRequest{Key: key, Old: x.Args.Old, Address: x.Args.Address}
 	if err := x.c.call("replace", req, &resp, func() coded { return &resp }); err != nil {
 		return err
 	}
-	return x.c.print(&resp, func(w io.Writer) { fmt.Fprintln(w, "replaced") })
+	return x.c.print(&resp, func(w io.Writer) { fmt.Fprintln(w, "accepted; status shows when the new instance votes") })
 }
 
 type keyCommand struct {
--- a/cmd/mangokeel/status.go
+++ b/cmd/mangokeel/status.go
@@ -84,10 +84,36 @@
 		}
 	})
 	fmt.Fprintln(c.out)
+	printInstances(c.out, replies)
+	fmt.Fprintln(c.out)
 	printNodes(c.out, nodesOf(replies))
 	return nil
 }
 
+// printInstances shows the members as the instance with the newest state knows
+// them.
+func printInstances(out io.Writer, replies []*wire.StatusReply) {
+	newest := slices.MaxFunc(replies, func(a, b *wire.StatusReply) int { return cmp.Compare(a.GetApplied(), b.GetApplied()) })
+	table(out, func(w io.Writer) {
+		fmt.Fprintln(w, "MEMBER\tNAME\tADDRESS\tSTATE")
+		for _, m := range newest.GetInstances() {
+			fmt.Fprintf(w, "%s\t%s\t%s\t%s\n", m.GetId(), m.GetName(), m.GetAddress(), memberState(m))
+		}
+	})
+}
+
+func memberState(m *wire.Instance) string {
+	switch {
+	case m.GetJoining() && m.GetReplaces() != "":
+		return "joining for " + m.GetReplaces()
+	case m.GetJoining():
+		return "joining"
+	case m.GetVoter():
+		return "voter"
+	}
+	return "learner"
+}
+
 func roleOf(r *wire.StatusReply) string {
 	switch {
 	case r.GetCode() != wire.Code_CODE_ACCEPTED:
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -12,6 +12,7 @@
 
 import (
 	"context"
+	"net/netip"
 	"sync"
 	"time"
 
@@ -21,6 +22,7 @@
 
 	"mangokeel"
 	"mangokeel/internal/jsonrpc"
+	"mangokeel/internal/replica"
 	"mangokeel/internal/roster"
 	"mangokeel/internal/wire"
 	"mangokeel/pkg/settings"
@@ -58,10 +60,12 @@
 	work   sync.WaitGroup
 }
 
-// Members changes the set of control instances.
+// Members is the set of control instances. replica.Node implements it.
 type Members interface {
-	// Replace admits the instance new in place of old.
-	Replace(ctx context.Context, old string, member settings.Member) error
+	Members() []replica.Member
+	// Replace admits the instance at addr in place of old, an id or a name. It
+	// works on the leader.
+	Replace(ctx context.Context, old string, addr netip.AddrPort) error
 }
 
 // Option changes a Control.
@@ -75,7 +79,7 @@
 	return func(c *Control) { c.metrics.register(r, c) }
 }
 
-// WithMembers sets what executes the operators' replace call.
+// WithMembers sets what lists and replaces control instances.
 func WithMembers(m Members) Option { return func(c *Control) { c.members = m } }
 
 // New starts an instance over a log that applies to machine. cfg must have been
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -6,12 +6,15 @@
 	"crypto/subtle"
 	"encoding/hex"
 	"encoding/json"
+	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"mangokeel"
+	"mangokeel/internal/replica"
 	"mangokeel/internal/roster"
 	"mangokeel/internal/wire"
-	"mangokeel/pkg/settings"
 )
 
 // waitPause separates the questions to the leader while nodes lag.
@@ -147,6 +150,7 @@
 	resp := &wire.StatusReply{
 		Code: wire.Code_CODE_ACCEPTED, Id: st.ID, Leading: st.Leading, Voter: st.Voter, Term: st.Term,
 		Applied: uint64(st.Applied), Committed: uint64(st.Committed), AgeMs: uint32(st.Age.Milliseconds()),
+		Instances: c.instances(),
 	}
 	if st.Leader.IsValid() {
 		resp.Leader = st.Leader.String()
@@ -186,21 +190,43 @@
 	return resp, nil
 }
 
+// replace is executed by the leader; other instances pass the call on.
 func (c *Control) replace(ctx context.Context, req *wire.ReplaceRequest) (*wire.ReplaceReply, error) {
 	if _, code, reason := c.admit(req.GetKey(), ""); reason != "" {
 		return &wire.ReplaceReply{Code: code, Reason: reason}, nil
 	}
-	m, err := settings.ParseMember(req.GetNew(), req.GetAddress())
-	if err != nil {
+	addr, err := netip.ParseAddrPort(req.GetAddress())
+	if err != nil || c.members == nil {
+		return &wire.ReplaceReply{Code: wire.Code_CODE_INVALID, Reason: "address: not an ip:port"}, nil
+	}
+	st := c.log.Status()
+	if !st.Leading && st.Leader.IsValid() {
+		var resp wire.ReplaceReply
+		err := c.remote.Call(ctx, st.Leader, "replace", req, &resp)
+		return &resp, err
+	}
+	err = c.members.Replace(ctx, req.GetOld(), addr)
+	switch {
+	case errors.Is(err, replica.ErrMember) || errors.Is(err, replica.ErrChanging):
 		return &wire.ReplaceReply{Code: wire.Code_CODE_INVALID, Reason: err.Error()}, nil
+	case err != nil:
+		return nil, err
 	}
+	return &wire.ReplaceReply{Code: wire.Code_CODE_ACCEPTED}, nil
+}
+
+// instances lists the control instances.
+func (c *Control) instances() []*wire.Instance {
 	if c.members == nil {
-		return &wire.ReplaceReply{Code: wire.Code_CODE_INVALID, Reason: "this instance is the only one"}, nil
+		return nil
 	}
-	if err := c.members.Replace(ctx, req.GetOld(), m); err != nil {
-		return &wire.ReplaceReply{Code: wire.Code_CODE_STALE, Reason: err.Error()}, nil
+	var out []*wire.Instance
+	for _, m := range c.members.Members() {
+		out = append(out, &wire.Instance{
+			Id: m.ID, Name: m.Name, Address: m.Address.String(), Voter: m.Voter, Joining: m.Joining, Replaces: m.Replaces,
+		})
 	}
-	return &wire.ReplaceReply{Code: wire.Code_CODE_ACCEPTED}, nil
+	return out
 }
 
 func (c *Control) dumpCall(_ context.Context, req *wire.DumpRequest) (*wire.DumpReply, error) {
@@ -214,8 +240,10 @@
 // Dump returns the state of the instance for people, without secrets.
 func (c *Control) Dump() any {
 	return struct {
-		Status mangokeel.LogStatus `json:"status"`
-		Roster any                 `json:"roster"`
-		Nodes  []*wire.Node        `json:"nodes"`
-	}{c.log.Status(), c.machine.Dump(), c.nodes(0)}
+		Status    mangokeel.LogStatus `json:"status"`
+		Instances []*wire.Instance    `json:"instances"`
+		Roster    roster.Dump         `json:"roster"`
+		// Nodes is as the leader sees them; it is of no use on other instances.
+		Nodes []*wire.Node `json:"nodes"`
+	}{c.log.Status(), c.instances(), c.machine.Dump(), c.nodes(0)}
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -250,15 +250,3 @@
 
 // Check implements Checker.
 func (*Drain) Check() error { return nil }
-
-// ParseMember checks the name and address of a control instance.
-func ParseMember(name, address string) (Member, error) {
-	a, err := netip.ParseAddrPort(address)
-	if err != nil {
-		return Member{}, errors.Wrap(err, "address")
-	}
-	if name == "" {
-		return Member{}, missing("name")
-	}
-	return Member{Name: name, Address: a}, nil
-}
