roster, control: claim homes follow the serving targets

Cause: nothing set the claim home of a service. Change: the leader proposes the serving targets in service as home once they have been the same for 1 s, and ends the joint step when every member of the next home reported that it is ready (SyncRequest.ready, view.Report.Ready). A joint step whose next home lost a member continues with another one; ending it after a fixed time was ruled out, because a member that missed the step would vote without knowing earlier claims.

--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -52,6 +52,7 @@
 	revision uint64
 	load     *wire.Load
 	release  *wire.Release
+	ready    uint64
 }
 
 func newHeard() *heard { return &heard{nodes: map[nodeKey]*beat{}} }
@@ -59,7 +60,7 @@
 func (h *heard) add(now time.Time, req *wire.SyncRequest) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.nodes[nodeKey{req.GetRole(), req.GetId()}] = &beat{at: now, revision: req.GetRevision(), load: req.GetLoad(), release: releaseOf(req)}
+	h.nodes[nodeKey{req.GetRole(), req.GetId()}] = &beat{at: now, revision: req.GetRevision(), load: req.GetLoad(), release: releaseOf(req), ready: req.GetReady()}
 }
 
 // releaseOf returns the node's release for its own handle only.
@@ -107,7 +108,7 @@
 		}
 		b.revision = max(b.revision, old.revision)
 		if b.at.IsZero() {
-			b.at, b.load, b.release = old.at, old.load, old.release
+			b.at, b.load, b.release, b.ready = old.at, old.load, old.release, old.ready
 		}
 	}
 }
@@ -122,7 +123,7 @@
 		if !b.at.IsZero() {
 			silent = uint32(now.Sub(b.at).Milliseconds())
 		}
-		out = append(out, &wire.Beat{Role: k.role, Id: k.id, SilentMs: silent, Revision: b.revision, Load: b.load, Release: b.release})
+		out = append(out, &wire.Beat{Role: k.role, Id: k.id, SilentMs: silent, Revision: b.revision, Load: b.load, Release: b.release, Ready: b.ready})
 	}
 	return out
 }
@@ -157,6 +158,8 @@
 	term  uint64
 	swept time.Time
 	nodes map[nodeKey]*nodeState
+	// wanted has the homes that services should have and do not.
+	wanted map[uint32]wanted
 }
 
 type nodeState struct {
@@ -164,6 +167,8 @@
 	revision uint64
 	load     *wire.Load
 	release  *wire.Release
+	// ready is the epoch of the joint home for which the agent is ready.
+	ready uint64
 	// weighed is when the last weight was proposed.
 	weighed time.Time
 }
@@ -194,6 +199,7 @@
 		return
 	}
 	n.at = at
+	n.ready = b.GetReady()
 	if b.GetLoad() != nil {
 		n.load = b.GetLoad()
 	}
@@ -227,6 +233,7 @@
 	batch := &wire.CommandBatch{}
 	batch.Commands = append(batch.Commands, c.ended(now)...)
 	batch.Commands = append(batch.Commands, c.loads(now)...)
+	batch.Commands = append(batch.Commands, c.homes(now)...)
 	if len(batch.GetCommands()) == 0 {
 		return
 	}
--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -186,3 +186,34 @@
 	c.Assert(x.timers.Now().Sub(start) >= time.Second, qt.IsTrue, qt.Commentf("second joins did not wait"))
 	c.Assert(len(x.entries)-before <= 20, qt.IsTrue, qt.Commentf(fmt.Sprint(len(x.entries)-before, " entries")))
 }
+
+// Guards against a joint claim home that ends before every new member is ready,
+// and against one that waits for a member that has left.
+func TestHomesFollowTargets(t *testing.T) {
+	c := qt.New(t)
+	x := newClock(c, 1)
+	x.set(0, operatorKey, "a", "sieste", 0, dispatch, document)
+	first := x.enter(0, 1)
+	x.run(1500*time.Millisecond, 0, first)
+	home := func() *wire.Home { return x.instances[0].machine.Service(1).GetHome() }
+	c.Assert(home().GetNow(), qt.DeepEquals, []uint32{first.GetId()})
+	second, third := x.enter(0, 2), x.enter(0, 3)
+	all := func(d time.Duration, nodes ...*wire.SyncRequest) {
+		for range d / (125 * time.Millisecond) {
+			for _, n := range nodes {
+				x.sync(0, n)
+			}
+			x.run(125*time.Millisecond, 0, nil)
+		}
+	}
+	all(1500*time.Millisecond, first, second, third)
+	c.Assert(home().GetNext(), qt.HasLen, 3)
+	first.Ready, second.Ready = home().GetEpoch(), home().GetEpoch()
+	all(5*time.Second, first, second)
+	c.Assert(home().GetNow(), qt.DeepEquals, []uint32{first.GetId()})
+	c.Assert(home().GetNext(), qt.DeepEquals, []uint32{first.GetId(), second.GetId()})
+	first.Ready, second.Ready = home().GetEpoch(), home().GetEpoch()
+	all(time.Second, first, second)
+	c.Assert(home().GetNow(), qt.DeepEquals, []uint32{first.GetId(), second.GetId()})
+	c.Assert(home().GetNext(), qt.HasLen, 0)
+}
--- a/internal/roster/service.go
+++ b/internal/roster/service.go
@@ -1,6 +1,7 @@
 package roster
 
 import (
+	"cmp"
 	"slices"
 
 	"mangokeel"
@@ -139,8 +140,9 @@
 	}
 }
 
-// rehome moves the claim home one step: from stable to joint with next, or from
-// joint to the next home alone. The first home needs no joint step.
+// rehome moves the claim home one step. The first home needs no joint step. A
+// joint step whose next home lost a member continues with another next home,
+// which is safe because claims under both need a majority of the old one.
 func (s *step) rehome(x *wire.Rehome) *wire.Outcome {
 	svc := s.m.services[x.GetService()]
 	if svc == nil {
@@ -148,22 +150,74 @@
 	}
 	home := svc.record.GetHome()
 	joint := len(home.GetNext()) > 0
-	if home.GetEpoch() != x.GetEpoch() || joint != x.GetDone() {
+	if home.GetEpoch() != x.GetEpoch() || (x.GetDone() && !joint) {
 		return &wire.Outcome{Code: wire.Code_CODE_CONFLICT, Revision: home.GetEpoch()}
 	}
-	next := &wire.Home{Epoch: s.revision}
+	next := &wire.Home{Epoch: s.revision, Now: home.GetNow(), Next: x.GetNext()}
 	switch {
 	case x.GetDone():
-		next.Now = home.GetNext()
+		next.Now, next.Next = home.GetNext(), nil
+	case len(x.GetNext()) == 0:
+		return refused(wire.Code_CODE_INVALID, "", "the next home is empty")
 	case len(home.GetNow()) == 0:
-		next.Now = x.GetNext()
-	default:
-		next.Now, next.Next = home.GetNow(), x.GetNext()
+		next.Now, next.Next = x.GetNext(), nil
 	}
 	s.service(svc).Home = next
 	return accepted(s.revision)
 }
 
+// Home is the claim home of a service and the one it should have.
+type Home struct {
+	Service uint32
+	Home    *wire.Home
+	// Want lists the serving targets in service by availability zone, with a 0
+	// between zones.
+	Want []uint32
+	// Broken means that a member of the next home has left or is leaving.
+	Broken bool
+}
+
+// Homes returns the claim homes that are joint or not as they should be.
+func (m *Machine) Homes() []Home {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	var out []Home
+	for id, svc := range m.services {
+		if svc.record.GetProtocol() != wire.Protocol_PROTOCOL_HTTP {
+			continue
+		}
+		h := Home{Service: id, Home: svc.record.GetHome(), Want: svc.want()}
+		for _, x := range h.Home.GetNext() {
+			h.Broken = h.Broken || (x != 0 && !slices.Contains(h.Want, x))
+		}
+		if len(h.Home.GetNext()) > 0 || !slices.Equal(h.Home.GetNow(), h.Want) {
+			out = append(out, h)
+		}
+	}
+	slices.SortFunc(out, func(a, b Home) int { return cmp.Compare(a.Service, b.Service) })
+	return out
+}
+
+func (svc *service) want() []uint32 {
+	var fit []*wire.Target
+	for _, t := range svc.targets {
+		if t.GetState() == wire.State_STATE_SERVING && slices.Contains(svc.record.GetZones(), t.GetZone()) {
+			fit = append(fit, t)
+		}
+	}
+	slices.SortFunc(fit, func(a, b *wire.Target) int {
+		return cmp.Or(cmp.Compare(a.GetZone(), b.GetZone()), cmp.Compare(a.GetHandle(), b.GetHandle()))
+	})
+	var out []uint32
+	for i, t := range fit {
+		if i > 0 && t.GetZone() != fit[i-1].GetZone() {
+			out = append(out, 0)
+		}
+		out = append(out, t.GetHandle())
+	}
+	return out
+}
+
 func protocolOf(name string) wire.Protocol {
 	if name == "udp" {
 		return wire.Protocol_PROTOCOL_UDP
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -29,6 +29,9 @@
 type Report struct {
 	Load    *wire.Load
 	Release *wire.Release
+	// Ready is the epoch of the joint claim home for which the agent is ready as
+	// a member of the next home, or 0.
+	Ready uint64
 }
 
 // Follower keeps a View up to date from a list of control instances. It joins
@@ -203,6 +206,7 @@
 		Release:     r.Release,
 		WaitMs:      uint32(pollWait.Milliseconds()),
 		Joined:      f.entered,
+		Ready:       r.Ready,
 	}
 	var resp wire.SyncReply
 	f.polls.Add(1)
