settings: errors name file, line and key

Cause: a wrong value named no line, an unknown key a Go type, and values had no range. KnownFields of the YAML library was ruled out because it reports no key path and types of the program. Change: a decoder over the YAML tree that notes lines, checks for names, addresses, ranges and repetitions, values taken over only when the whole document is good; examples of both users, loaded by a test.

--- a/internal/roster/tree.go
+++ b/internal/roster/tree.go
@@ -3,7 +3,6 @@
 import (
 	"bytes"
 	"maps"
-	"regexp"
 	"slices"
 	"strings"
 
@@ -26,9 +25,6 @@
 	kindDrains   = "drains"
 )
 
-// name is what teams, services, availability zones and hosts may be called.
-const name = `[A-Za-z0-9][A-Za-z0-9._-]{0,62}`
-
 // team is one team's subtree.
 type team struct {
 	name string
@@ -90,7 +86,7 @@
 
 // change executes a change as a whole or not at all.
 func (s *step) change(c *wire.Change) *wire.Outcome {
-	if !nameOK(c.GetTeam()) {
+	if !settings.NameOK(c.GetTeam()) {
 		return refused(wire.Code_CODE_INVALID, c.GetTeam(), "not a team's name")
 	}
 	var present uint64
@@ -282,15 +278,10 @@
 	return t != nil && t.documents["/"+team+"/"+kindDrains+"/"+host] != ""
 }
 
-func nameOK(s string) bool {
-	ok, _ := regexp.MatchString("^"+name+"$", s)
-	return ok
-}
-
 // SplitPath splits /TEAM/KIND/NAME. It is false for any other form.
 func SplitPath(path string) (team, kind, last string, ok bool) {
 	parts := strings.Split(path, "/")
-	if len(parts) != 4 || parts[0] != "" || !nameOK(parts[1]) || !nameOK(parts[3]) {
+	if len(parts) != 4 || parts[0] != "" || !settings.NameOK(parts[1]) || !settings.NameOK(parts[3]) {
 		return "", "", "", false
 	}
 	if !slices.Contains([]string{kindServices, kindZones, kindDrains}, parts[2]) {
@@ -301,7 +292,7 @@
 
 // key issues or revokes a key.
 func (s *step) key(x *wire.KeyChange) *wire.Outcome {
-	if !nameOK(x.GetTeam()) || !nameOK(x.GetName()) {
+	if !settings.NameOK(x.GetTeam()) || !settings.NameOK(x.GetName()) {
 		return refused(wire.Code_CODE_INVALID, x.GetTeam(), "team and name are required")
 	}
 	t := s.m.team(x.GetTeam())
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -11,10 +11,12 @@
 
 import (
 	"bytes"
-	"crypto/sha256"
-	"encoding/hex"
+	"fmt"
+	"io"
 	"net/netip"
 	"os"
+	"reflect"
+	"strings"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -28,23 +30,63 @@
 }
 
 // Load reads the file at path into s, which must be a pointer to one of the
-// types of this package.
+// types of this package. The error of a bad file is an *Error.
 func Load(path string, s Checker) error {
 	b, err := os.ReadFile(path)
 	if err != nil {
 		return errors.Wrap(err, "read settings")
 	}
-	return errors.Wrap(Parse(b, s), path)
+	err = Parse(b, s)
+	var e *Error
+	if errors.As(err, &e) {
+		e.File = path
+	}
+	return err
 }
 
-// Parse decodes a YAML document into s and checks it.
+// Parse decodes a YAML document into s and checks it. The error is an *Error.
 func Parse(b []byte, s Checker) error {
-	d := yaml.NewDecoder(bytes.NewReader(b))
-	d.KnownFields(true)
-	if err := d.Decode(s); err != nil {
+	var root yaml.Node
+	dec := yaml.NewDecoder(bytes.NewReader(b))
+	switch err := dec.Decode(&root); {
+	case errors.Is(err, io.EOF):
+		return &Error{Reason: "the document is empty"}
+	case err != nil:
+		return syntaxError(err)
+	}
+	if err := dec.Decode(&yaml.Node{}); !errors.Is(err, io.EOF) {
+		return &Error{Reason: "there is more than one document"}
+	}
+	return decodeInto(root.Content[0], s)
+}
+
+// decodeInto changes s only when the whole document is good.
+func decodeInto(n *yaml.Node, s Checker) error {
+	d := &decoder{lines: map[string]int{}}
+	target := reflect.ValueOf(s).Elem()
+	fresh := reflect.New(target.Type())
+	if err := d.decode(n, fresh.Elem(), ""); err != nil {
 		return err
 	}
-	return s.Check()
+	err := fresh.Interface().(Checker).Check()
+	var e *Error
+	if errors.As(err, &e) {
+		e.Line = d.lineOf(e.Key)
+	}
+	if err == nil {
+		target.Set(fresh.Elem())
+	}
+	return err
+}
+
+// syntaxError takes the line out of an error of package yaml.
+func syntaxError(err error) *Error {
+	reason := strings.TrimPrefix(err.Error(), "yaml: ")
+	e := &Error{Reason: reason}
+	if _, scanErr := fmt.Sscanf(reason, "line %d: ", &e.Line); scanErr == nil {
+		_, e.Reason, _ = strings.Cut(reason, ": ")
+	}
+	return e
 }
 
 // Duration is a time.Duration written as in "500ms" or "8h".
@@ -90,24 +132,6 @@
 	Address netip.AddrPort `yaml:"address"`
 }
 
-// Check implements Checker.
-func (s *Control) Check() error {
-	switch {
-	case s.Name == "":
-		return missing("name")
-	case s.Zone == "":
-		return missing("zone")
-	case !s.Address.IsValid():
-		return missing("address")
-	case s.Data == "":
-		return missing("data")
-	}
-	if b, err := hex.DecodeString(s.Operator); err != nil || (len(b) != 0 && len(b) != sha256.Size) {
-		return errors.New("operator: not a SHA-256 hash of 64 hexadecimal digits")
-	}
-	return nil
-}
-
 // Balancer is the settings of a balancer.
 type Balancer struct {
 	Name string `yaml:"name"`
@@ -124,23 +148,6 @@
 	Control []netip.AddrPort `yaml:"control"`
 }
 
-// Check implements Checker.
-func (s *Balancer) Check() error {
-	switch {
-	case s.Name == "":
-		return missing("name")
-	case s.Zone == "":
-		return missing("zone")
-	case !s.Anycast && !s.Address.IsValid():
-		return missing("address")
-	case !s.Data.IsValid():
-		return missing("data")
-	case len(s.Control) == 0:
-		return missing("control")
-	}
-	return nil
-}
-
 // Agent is the settings of an agent.
 type Agent struct {
 	// Name is the host's name as operators write it, as in /TEAM/drains/NAME.
@@ -160,25 +167,6 @@
 	Key  string `yaml:"key"`
 }
 
-// Check implements Checker.
-func (s *Agent) Check() error {
-	switch {
-	case s.Name == "":
-		return missing("name")
-	case s.Zone == "":
-		return missing("zone")
-	case s.Service == "":
-		return missing("service")
-	case !s.Address.IsValid():
-		return missing("address")
-	case !s.Target.IsValid():
-		return missing("target")
-	case len(s.Control) == 0:
-		return missing("control")
-	}
-	return nil
-}
-
 // Service is the document at /TEAM/services/NAME.
 type Service struct {
 	Address netip.AddrPort `yaml:"address"`
@@ -211,21 +199,6 @@
 	Stream bool `yaml:"stream"`
 }
 
-// Check implements Checker.
-func (s *Service) Check() error {
-	switch {
-	case !s.Address.IsValid():
-		return missing("address")
-	case s.Protocol != "http" && s.Protocol != "udp":
-		return errors.Newf("protocol: %q is not http or udp", s.Protocol)
-	case len(s.Zones) == 0:
-		return missing("zones")
-	}
-	return nil
-}
-
-func missing(key string) error { return errors.Newf("%s: missing", key) }
-
 // Zone is the document at /TEAM/zones/NAME.
 type Zone struct {
 	// State is "in" or "out".
@@ -234,19 +207,8 @@
 	Reason string `yaml:"reason"`
 }
 
-// Check implements Checker.
-func (s *Zone) Check() error {
-	if s.State != "in" && s.State != "out" {
-		return errors.Newf("state: %q is not in or out", s.State)
-	}
-	return nil
-}
-
 // Drain is the document at /TEAM/drains/HOST.
 type Drain struct {
 	// Reason is free text for the history.
 	Reason string `yaml:"reason"`
 }
-
-// Check implements Checker.
-func (*Drain) Check() error { return nil }
