--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -14,7 +14,6 @@
 import (
 	"context"
 	"net/netip"
-	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -43,9 +42,9 @@
 	// defaultLinger is how long a balancer that has left still forwards. Agents
 	// hear of the departure within a poll of 1 s and send replies until then.
 	defaultLinger = 2 * time.Second
-	// maxReaders bounds the readers of each socket. More readers than this only
-	// wait for the socket's read lock.
-	maxReaders = 4
+	// defaultReaders is the number of readers of each socket. The second covers
+	// for one that waits for a processor; more only contend for the socket's lock.
+	defaultReaders = 2
 )
 
 // endpoints are the open services.
@@ -122,7 +121,7 @@
 		listen:  ListenPackets,
 		drain:   defaultDrain,
 		linger:  defaultLinger,
-		readers: min(maxReaders, runtime.GOMAXPROCS(0)),
+		readers: defaultReaders,
 		streams: streams{open: map[*stream]struct{}{}},
 		failed:  map[mangokeel.ServiceID]string{},
 		stop:    make(chan struct{}),
--- a/internal/fabric/balancer_test.go
+++ b/internal/fabric/balancer_test.go
@@ -143,19 +143,30 @@
 	ended   chan error
 }
 
-// start runs a balancer with one UDP service of the given agents.
+// start runs a balancer with one UDP service of n echoing agents.
 func start(t testing.TB, n int, opts ...fabric.Option) *bench {
-	x := &bench{reg: prometheus.NewRegistry(), ended: make(chan error, 1)}
+	var agents []*agent
+	var addrs []netip.AddrPort
+	for range n {
+		a := startAgent(t)
+		agents, addrs = append(agents, a), append(addrs, a.addr())
+	}
+	x := startWith(t, addrs, opts...)
+	x.agents = agents
+	return x
+}
+
+// startWith runs a balancer with one UDP service of the given agents, whose
+// handles count from 1.
+func startWith(t testing.TB, agents []netip.AddrPort, opts ...fabric.Option) *bench {
+	x := &bench{reg: prometheus.NewRegistry(), ended: make(chan error, 1), service: netip.AddrPortFrom(loopback(), 17443)}
 	u := &wire.Update{Whole: true, Revision: 1, NextHandle: nextHandle}
 	svc := service(1, wire.Protocol_PROTOCOL_UDP)
-	x.service = netip.AddrPortFrom(loopback(), 17443)
 	svc.Address = x.service.String()
 	u.Services = []*wire.Service{svc}
-	for i := range n {
-		a := startAgent(t)
-		x.agents = append(x.agents, a)
+	for i, a := range agents {
 		y := target(uint32(i+1), 1, "plaisance")
-		y.Agent = a.addr().String()
+		y.Agent = a.String()
 		u.Targets = append(u.Targets, y)
 	}
 	x.control = &control{update: u}
