--- a/internal/fabric/decide.go
+++ b/internal/fabric/decide.go
@@ -108,13 +108,19 @@
 	return d.address(svc, svc.Owner(d.Header.GetBucket()), wire.Kind_KIND_RESET)
 }
 
-// byAddress chooses the first member of the bucket's chain. When no target is
-// eligible, that is the newest holder, which creates nothing because it knows
-// that it does not own the bucket.
+// byAddress chooses the first member of the bucket's chain. A chain without an
+// eligible owner starts with a hop of handle 0, so that no holder takes itself for
+// the owner.
 func (d *Decision) byAddress(svc *view.Service) Outcome {
-	var first *view.Target
+	b := d.Header.GetBucket()
+	first := svc.Owner(b)
 	n := 0
-	svc.Chain(d.Header.GetBucket(), func(t *view.Target) bool {
+	if first == nil {
+		d.hop(0, 0, netip.AddrPort{})
+		d.Header.Next = 1
+		n = 1
+	}
+	svc.Chain(b, func(t *view.Target) bool {
 		if first == nil {
 			first = t
 		}
@@ -139,8 +145,10 @@
 		x.Ip = append(x.Ip, v4[:]...)
 		return
 	}
-	d.ips[i] = a.Addr().As16()
-	x.Ip = d.ips[i][:]
+	if a.Addr().Is6() {
+		d.ips[i] = a.Addr().As16()
+		x.Ip = d.ips[i][:]
+	}
 }
 
 // address completes the decision for t and checks invariants I2 and I4.
--- a/internal/fabric/decide_test.go
+++ b/internal/fabric/decide_test.go
@@ -150,7 +150,8 @@
 }
 
 // Guards against flows of leaving targets that end when nobody is eligible any
-// more, and against packets that follow a zone out of service.
+// more, against holders that take themselves for the owner then, and against
+// packets that follow a zone out of service.
 func TestNoOwnerAsksHolders(t *testing.T) {
 	c := qt.New(t)
 	var v view.View
@@ -161,6 +162,9 @@
 	c.Assert(d.Decide(v.State(), v.State().Service(3), caller, nil), qt.Equals, fabric.Forward)
 	c.Assert(d.Target.Handle, qt.Equals, mangokeel.Handle(6))
 	c.Assert(d.Header.GetKind(), qt.Equals, wire.Kind_KIND_FIND)
+	c.Assert(d.Header.GetNext(), qt.Equals, uint32(1))
+	c.Assert(d.Header.GetChain(), qt.HasLen, 2)
+	c.Assert(d.Header.GetChain()[0].GetHandle(), qt.Equals, uint32(0))
 
 	leaving = target(6, 3, "ebene")
 	v.Apply(&wire.Update{Revision: 6, Targets: []*wire.Target{leaving}})
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -119,7 +119,8 @@
 	Hops uint32
 	// Next is this agent's position in Chain.
 	Next uint32
-	// Chain has the owner first. Empty means that this agent is the only member.
+	// Chain has the owner first, or the zero Hop when no target is eligible. Empty
+	// means that this agent is the only member and the owner.
 	// The table keeps the slice.
 	Chain []Hop
 	// Named is the handle in the payload's connection ID, or 0 when the payload
@@ -198,7 +199,7 @@
 }
 
 // floor is the epoch below which nothing is created in a bucket. The first
-// member of chain is never this agent.
+// member of chain is never this agent. It is the zero Hop when there was no owner.
 type floor struct {
 	epoch mangokeel.Epoch
 	chain []Hop
--- a/internal/flow/flow_test.go
+++ b/internal/flow/flow_test.go
@@ -114,6 +114,8 @@
 		{"position out of range", stateOf(4, handles{1}), func(p *flow.Packet) { p.Next = 9 }, find(5, 1, 3), "drop chain"},
 		{"chain back to itself", stateOf(4, handles{1}), nil, find(5, 1, 1), "drop invariant"},
 		{"nobody owns the bucket", stateOf(5, handles{}, 1), nil, find(5, 1), "drop owner"},
+		{"no owner, holder whose view is behind", stateOf(4, handles{1}), func(p *flow.Packet) { p.Handle, p.Next = 1, 1 }, find(5, 0, 1), "drop owner"},
+		{"no owner, other holder is asked", stateOf(4, handles{1}), func(p *flow.Packet) { p.Handle, p.Next = 1, 1 }, find(5, 0, 1, 2), "forward 2 KIND_FIND 5 next 2"},
 		{"payload opens nothing", stateOf(5, handles{1}), func(p *flow.Packet) { p.Opens = false }, find(5, 1), "reset"},
 		{"names this target", stateOf(5, handles{2, 1}), func(p *flow.Packet) { p.Named = 1 }, find(5, 1), "deliver"},
 		{"names a live target", stateOf(5, handles{1, 2}), func(p *flow.Packet) { p.Kind, p.Named = wire.Kind_KIND_RESET, 2 }, find(9, 1), "forward 2 KIND_DELIVER 9 next 0"},
--- a/internal/flow/walk.go
+++ b/internal/flow/walk.go
@@ -96,8 +96,6 @@
 		return t.begin(p, step{epoch: f.epoch, chain: f.chain})
 	}
 	switch {
-	case len(s.chain) == 0:
-		return drop(ReasonOwner)
 	case fresh && s.chain[0].Handle != t.cfg.Handle:
 		return t.begin(p, s)
 	case s.at >= len(s.chain) || s.chain[s.at].Handle != t.cfg.Handle:
@@ -147,9 +145,14 @@
 	return step{t.Epoch(), own, 0}, true
 }
 
-// chain returns this agent's own chain of a bucket.
+// chain returns this agent's own chain of a bucket. A chain without an eligible
+// owner starts with the zero Hop, so that no holder takes itself for the owner
+// and creates flows that its releases do not account for.
 func (t *Table) chain(b uint32) []Hop {
 	var c []Hop
+	if t.service.Owner(b) == nil {
+		c = append(c, Hop{})
+	}
 	t.service.Chain(b, func(x *view.Target) bool {
 		c = append(c, Hop{Handle: x.Handle, Agent: x.Agent})
 		return true
@@ -175,10 +178,13 @@
 	if s.epoch > t.Epoch() {
 		t.floors[p.Bucket] = floor{s.epoch, s.chain}
 	}
-	if s.at+1 == len(s.chain) {
-		return t.forward(p, wire.Kind_KIND_CREATE, s.chain[0], step{s.epoch, s.chain, 0})
+	switch {
+	case s.at+1 < len(s.chain):
+		return t.forward(p, wire.Kind_KIND_FIND, s.chain[s.at+1], step{s.epoch, s.chain, s.at + 1})
+	case s.chain[0].Handle == 0:
+		return drop(ReasonOwner)
 	}
-	return t.forward(p, wire.Kind_KIND_FIND, s.chain[s.at+1], step{s.epoch, s.chain, s.at + 1})
+	return t.forward(p, wire.Kind_KIND_CREATE, s.chain[0], step{s.epoch, s.chain, 0})
 }
 
 // create opens a flow at the owner, after every other member declined.
@@ -187,9 +193,6 @@
 		t.counters.Violations++
 		return drop(ReasonInvariant)
 	}
-	if s.epoch == t.Epoch() && t.service != nil && t.service.Owner(p.Bucket) == nil {
-		return drop(ReasonOwner)
-	}
 	if !p.Opens {
 		return Decision{Action: Reset}
 	}
@@ -197,9 +200,15 @@
 	return Decision{Action: Create}
 }
 
-// begin begins a walk at the owner of a newer chain.
+// begin begins a walk at the owner of a newer chain, or at the first other holder
+// when the bucket has no owner.
 func (t *Table) begin(p Packet, s step) Decision {
-	return t.forward(p, wire.Kind_KIND_FIND, s.chain[0], step{s.epoch, s.chain, 0})
+	for i, to := range s.chain {
+		if i == 0 && to.Handle != 0 || i > 0 && to.Handle != t.cfg.Handle {
+			return t.forward(p, wire.Kind_KIND_FIND, to, step{s.epoch, s.chain, i})
+		}
+	}
+	return drop(ReasonOwner)
 }
 
 // forward returns the decision to send p to another member. A packet is never
