agent: never reset what this view cannot place; limit flows; leave under each handle

Cause: a packet found by address without a connection ID that authenticates was answered with a reset, which kills the flow of a live target when this agent lacks a newer key. It is dropped now, before it reaches the transport, whose own resets use the same key. A lease that ended while the agent left gave it a new handle that served again; the departure is now announced for each handle, and polls end before the last announcement. Flows of a target are limited to the service's connections, so that callers cannot use up the agent's sockets. The target is tried before the first report.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -102,10 +102,10 @@
 	for _, o := range opts {
 		o(a)
 	}
+	a.probe = &probe{target: cfg.Target}
 	if err := a.open(); err != nil {
 		return nil, err
 	}
-	a.probe = &probe{target: cfg.Target}
 	a.subs = append(a.subs,
 		a.timers.Every(expirePeriod, a.expire),
 		a.timers.Every(probePeriod, a.look),
@@ -205,6 +205,9 @@
 		if reg = a.register(s); reg == nil {
 			return
 		}
+		if reg.relay == nil {
+			a.probe.check()
+		}
 	}
 	a.mu.Lock()
 	closed := reg.table.Update(s)
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -28,6 +28,8 @@
 	_ = level.Info(a.log).Log("msg", "leaving")
 	a.target.Leave()
 	a.drain()
+	// A poll after the departure would join the roster again.
+	a.follower.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if err := a.follower.Leave(ctx, true); err != nil {
@@ -40,15 +42,18 @@
 // Stop makes Run leave. It returns at once.
 func (a *Agent) Stop() { a.stopOnce.Do(func() { close(a.stop) }) }
 
-// drain announces the departure until control has accepted it, and waits. When
-// the drain time has passed before, flows are cut nevertheless.
+// drain announces the departure until control has accepted it, and waits. It is
+// announced again for a handle that was given in the meantime, after the lease of
+// the one before has ended. Flows that outlast the drain time are cut.
 func (a *Agent) drain() {
 	begin := a.timers.Now()
-	announced := false
+	var announced mangokeel.Handle
 	for {
-		if !announced {
+		if h := a.Handle(); announced != h {
 			ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
-			announced = a.follower.Leave(ctx, false) == nil
+			if a.follower.Leave(ctx, false) == nil {
+				announced = h
+			}
 			cancel()
 		}
 		spent := a.timers.Now().Sub(begin)
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -86,6 +86,9 @@
 	ReasonOwner
 	// ReasonUnknown marks a connection ID that this agent's view cannot place.
 	ReasonUnknown
+	// ReasonFull marks a packet that would exceed the service's limit of
+	// connections for each target.
+	ReasonFull
 	// ReasonInvariant marks a decision that would break an invariant.
 	ReasonInvariant
 	reasons
@@ -94,7 +97,7 @@
 // String returns the reason's name.
 func (r Reason) String() string {
 	return [...]string{
-		"none", "service", "handle", "kind", "bucket", "chain", "hops", "owner", "unknown", "invariant",
+		"none", "service", "handle", "kind", "bucket", "chain", "hops", "owner", "unknown", "full", "invariant",
 	}[r]
 }
 
@@ -125,7 +128,8 @@
 	// Named is the handle in the payload's connection ID, or 0 when the payload
 	// has none that authenticates.
 	Named mangokeel.Handle
-	// Opens is true when the payload can open a flow.
+	// Opens is true when the payload can open a flow. Packets found by address
+	// that cannot are dropped.
 	Opens bool
 }
 
@@ -170,7 +174,7 @@
 	Upgraded uint64
 	// Fenced counts packets that a floor kept from this agent.
 	Fenced uint64
-	// Released counts buckets reported as released.
+	// Released counts buckets reported as released, once for each report.
 	Released uint64
 	// Violations counts decisions that would have broken an invariant.
 	Violations uint64
--- a/internal/flow/walk.go
+++ b/internal/flow/walk.go
@@ -31,6 +31,11 @@
 	}
 	switch p.Kind {
 	case wire.Kind_KIND_FIND, wire.Kind_KIND_CREATE:
+		if !p.Opens {
+			// The connection ID may be one of a live target under a newer key, so
+			// that an answer could reset its flow.
+			return drop(ReasonUnknown)
+		}
 		return t.find(now, p)
 	case wire.Kind_KIND_DELIVER:
 		if t.cfg.Protocol == wire.Protocol_PROTOCOL_UDP {
@@ -190,13 +195,21 @@
 	if s.epoch == t.Epoch() && t.service != nil && t.service.Owner(p.Bucket) == nil {
 		return drop(ReasonOwner)
 	}
-	if !p.Opens {
-		return Decision{Action: Reset}
+	if limit := t.limit(); limit > 0 && t.count >= limit {
+		return drop(ReasonFull)
 	}
 	t.insert(now, p.Bucket, p.Caller)
 	return Decision{Action: Create}
 }
 
+// limit returns the largest number of flows; 0 is no limit.
+func (t *Table) limit() int {
+	if t.service == nil {
+		return 0
+	}
+	return int(t.service.GetConnections())
+}
+
 // begin begins a walk at the owner of a newer chain.
 func (t *Table) begin(p Packet, s step) Decision {
 	return t.forward(p, wire.Kind_KIND_FIND, s.chain[0], step{s.epoch, s.chain, 0})
