roster: a leaving balancer stays in the roster until it is gone

Cause: the announcement of a balancer's departure removed it at once; the next poll was answered with UNKNOWN and the balancer joined again (log: joined id=4 150 ms after leaving id=3). The soak did not wait for a stopped balancer's TCP connections either, and its restart met a bound address. Change: only gone removes it; the soak restarts a stopped balancer once it ended. Result: TestLeavingBalancerStays fails before and passes after.

--- a/internal/roster/node.go
+++ b/internal/roster/node.go
@@ -122,7 +122,11 @@
 		if b == nil || !bytes.Equal(b.GetIncarnation(), x.GetIncarnation()) {
 			return refused(wire.Code_CODE_UNKNOWN, "", "not in the roster")
 		}
-		s.dropBalancer(x.GetId())
+		// A leaving balancer forwards until its connections have ended, and stays in
+		// the roster so that it gets updates.
+		if x.GetGone() {
+			s.dropBalancer(x.GetId())
+		}
 		return accepted(s.revision)
 	}
 	h := mangokeel.Handle(x.GetId())
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -201,3 +201,27 @@
 	c.Assert(d.Service(1).GetHome().GetNow(), qt.DeepEquals, []uint32{3, 4, 5})
 	c.Assert(d.Service(1).GetHome().GetNext(), qt.HasLen, 0)
 }
+
+// Guards against a stopping balancer that is told that it is unknown, joins again,
+// and forwards with a view that no longer changes.
+func TestLeavingBalancerStays(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver()
+	id := d.apply(&wire.Command{Body: &wire.Command_Join{Join: &wire.JoinRequest{
+		Role: wire.Role_ROLE_BALANCER, Incarnation: []byte("one"), Zone: "ebene", Data: "127.0.0.1:7100",
+	}}}).GetJoin().GetId()
+	leave := func(gone bool) {
+		d.apply(&wire.Command{Body: &wire.Command_Leave{Leave: &wire.LeaveRequest{
+			Role: wire.Role_ROLE_BALANCER, Id: id, Incarnation: []byte("one"), Gone: gone,
+		}}})
+	}
+	balancers := func() int {
+		var v view.View
+		v.Apply(d.Update(0, wire.Role_ROLE_BALANCER, 0))
+		return len(v.State().Balancers())
+	}
+	leave(false)
+	c.Assert(balancers(), qt.Equals, 1)
+	leave(true)
+	c.Assert(balancers(), qt.Equals, 0)
+}
--- a/standin/soak.sh
+++ b/standin/soak.sh
@@ -24,20 +24,27 @@
 
 kill_balancer() {
   local i=$1
+  [ "$leaving" != "$i" ] || return 0
   say "kill balancer-$i"
   allow+=(--tcp)
   kill -9 "${pid[balancer-$i]}"
   sleep 2
   start_balancer "$i"
 }
+# leaving is the balancer that was stopped and still has TCP connections.
+leaving=0
 stop_balancer() {
-  local i=$1
-  say "stop balancer-$i"
-  kill "${pid[balancer-$i]}"
-  # It forwards until its departure is in force everywhere and its TCP
-  # connections have ended.
-  for _ in $(seq 150); do kill -0 "${pid[balancer-$i]}" 2>/dev/null || break; sleep 0.1; done
-  start_balancer "$i"
+  [ "$leaving" = 0 ] || return 0
+  leaving=$1
+  say "stop balancer-$leaving"
+  kill "${pid[balancer-$leaving]}"
+}
+restart_stopped() {
+  if [ "$leaving" != 0 ] && ! kill -0 "${pid[balancer-$leaving]}" 2>/dev/null; then
+    say "start balancer-$leaving"
+    start_balancer "$leaving"
+    leaving=0
+  fi
 }
 kill_control() {
   local i=$1
@@ -103,6 +110,7 @@
     8) move_zone "$which" ;;
   esac
   sleep 1
+  restart_stopped
 done
 for p in "${callers[@]}"; do wait "$p"; done
 "$bin/standin" verdict --name "$name" "${allow[@]}" "${faulty[@]}" "${reports[@]}" "${ledgers[@]}"
