bucket, cid, settings: a node's view of 4,800 services in 19 MB

Cause: BenchmarkWhole/4800 kept 48.7 MB of a node's 64 MB; a table took 4 bytes for each of 1,024 buckets (16 KB with 4,096) and the keys of one service 4 KB. Ruled out: fewer buckets alone, since 4 KB of keys would remain. Change: tables hold 16-bit indexes; keys are a slice; a service has 1,024 buckets or the number in its settings, fixed for its life. Result: BenchmarkWhole/4800 keeps 18.8 MB with a key for each service (go test ./internal/view -run xxx -bench Whole); cid.Read 52 ns, 0 allocations.

--- a/internal/bucket/bucket.go
+++ b/internal/bucket/bucket.go
@@ -30,10 +30,16 @@
 
 // Table gives the owner of each bucket. The zero value has no buckets.
 type Table struct {
-	// owners has one handle for each bucket, all zero when no member has weight.
-	owners []mangokeel.Handle
+	// owners has an index into handles for each bucket. Indexes take half the
+	// memory of handles.
+	owners []uint16
+	// handles has 0, for no owner, and then the members with weight.
+	handles []mangokeel.Handle
 }
 
+// MaxMembers is the largest number of targets of one service.
+const MaxMembers = 1<<16 - 1
+
 // seat is a member while the table is filled. Its preference list is
 // offset + k*skip modulo the number of buckets; skip is odd and the number of
 // buckets a power of two, so the list visits every bucket once.
@@ -46,13 +52,17 @@
 }
 
 // New computes a table. The number of buckets must be a power of two. Members
-// must be sorted by handle, so that every node computes the same table.
+// must be sorted by handle, so that every node computes the same table. Members
+// beyond MaxMembers own nothing.
 func New(members []Member, buckets uint32) Table {
-	t := Table{owners: make([]mangokeel.Handle, buckets)}
 	seats, heaviest := seatsOf(members, buckets)
+	t := Table{owners: make([]uint16, buckets), handles: make([]mangokeel.Handle, 1, 1+len(seats))}
 	if heaviest == 0 {
 		return t
 	}
+	for _, s := range seats {
+		t.handles = append(t.handles, s.handle)
+	}
 	for filled := uint32(0); filled < buckets; {
 		for i := range seats {
 			s := &seats[i]
@@ -61,7 +71,7 @@
 				continue
 			}
 			s.credit -= heaviest
-			t.take(s)
+			t.take(s, uint16(i+1))
 			filled++
 			if filled == buckets {
 				break
@@ -76,7 +86,7 @@
 	seats := make([]seat, 0, len(members))
 	var heaviest uint64
 	for _, m := range members {
-		if m.Weight == 0 {
+		if m.Weight == 0 || len(seats) == MaxMembers {
 			continue
 		}
 		var b [4]byte
@@ -93,14 +103,15 @@
 	return seats, heaviest
 }
 
-// take gives s the next free bucket of its preference list.
-func (t Table) take(s *seat) {
+// take gives s, whose index in handles is at, the next free bucket of its preference
+// list.
+func (t Table) take(s *seat, at uint16) {
 	n := uint32(len(t.owners))
 	for {
 		b := (s.offset + s.tried*s.skip) & (n - 1)
 		s.tried++
 		if t.owners[b] == 0 {
-			t.owners[b] = s.handle
+			t.owners[b] = at
 			return
 		}
 	}
@@ -115,7 +126,7 @@
 	if b >= uint32(len(t.owners)) {
 		return 0, false
 	}
-	h := t.owners[b]
+	h := t.handles[t.owners[b]]
 	return h, h != 0
 }
 
--- a/internal/cid/cid.go
+++ b/internal/cid/cid.go
@@ -39,13 +39,19 @@
 // Keys holds a service's keys. New uses the last one; Read accepts all. The zero
 // value reads nothing.
 type Keys struct {
-	blocks [256]cipher.Block
-	last   uint8
+	// keys is ordered oldest first. It is a slice because a node holds the keys of
+	// thousands of services, each with one or two.
+	keys []key
 	// plain has blocks for Read. A local array would be allocated by each call,
 	// because arguments of an interface method escape.
 	plain sync.Pool
 }
 
+type key struct {
+	number uint8
+	block  cipher.Block
+}
+
 // NewKeys returns the keys made from secrets, oldest first.
 func NewKeys(secrets []Secret) (*Keys, error) {
 	k := &Keys{}
@@ -57,27 +63,45 @@
 		if err != nil {
 			return nil, errors.Wrap(err, "connection ID key")
 		}
-		k.blocks[s.Number] = b
-		k.last = s.Number
+		k.keys = append(k.keys, key{s.Number, b})
 	}
 	return k, nil
 }
 
+// Usable reports whether New can be called.
+func (k *Keys) Usable() bool { return len(k.keys) > 0 }
+
 // New returns an ID for handle. The random number must differ from call to call.
+// There must be a key.
 func (k *Keys) New(service mangokeel.ServiceID, handle mangokeel.Handle, random uint64) [Len]byte {
+	last := k.keys[len(k.keys)-1]
 	var id, p [Len]byte
-	id[0] = k.last
+	id[0] = last.number
 	id[1], id[2], id[3] = byte(random>>32), byte(random>>40), byte(random>>48)
 	binary.BigEndian.PutUint32(p[4:], uint32(handle))
 	binary.BigEndian.PutUint32(p[8:], uint32(service))
 	binary.BigEndian.PutUint32(p[12:], uint32(random))
-	k.blocks[k.last].Encrypt(id[4:], p[4:])
+	last.block.Encrypt(id[4:], p[4:])
 	return id
 }
 
+// block returns the cipher of a key, or nil.
+func (k *Keys) block(number uint8) cipher.Block {
+	for _, x := range k.keys {
+		if x.number == number {
+			return x.block
+		}
+	}
+	return nil
+}
+
 // Read returns the handle in id if id was made for service with one of the keys.
 func (k *Keys) Read(service mangokeel.ServiceID, id []byte) (mangokeel.Handle, bool) {
-	if len(id) != Len || k.blocks[id[0]] == nil {
+	if len(id) != Len {
+		return 0, false
+	}
+	block := k.block(id[0])
+	if block == nil {
 		return 0, false
 	}
 	p, ok := k.plain.Get().(*[aes.BlockSize]byte)
@@ -85,7 +109,7 @@
 		p = new([aes.BlockSize]byte)
 	}
 	defer k.plain.Put(p)
-	k.blocks[id[0]].Decrypt(p[:], id[4:])
+	block.Decrypt(p[:], id[4:])
 	if binary.BigEndian.Uint32(p[4:]) != uint32(service) || binary.BigEndian.Uint32(p[12:]) != 0 {
 		return 0, false
 	}
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -225,3 +225,16 @@
 	leave(true)
 	c.Assert(balancers(), qt.Equals, 0)
 }
+
+// Guards against a change of the number of buckets, after which nodes would look
+// for flows in other buckets than those they were created in.
+func TestBucketsAreFixed(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver()
+	doc := "address: 127.0.0.1:80\nprotocol: http\nzones: [ebene]\nbuckets: "
+	c.Assert(d.force("sieste", dispatch, doc+"300").GetCode(), qt.Equals, wire.Code_CODE_INVALID)
+	c.Assert(d.force("sieste", dispatch, doc+"2048").GetCode(), qt.Equals, wire.Code_CODE_ACCEPTED)
+	o := d.force("sieste", dispatch, doc+"4096")
+	c.Assert(o.GetCode(), qt.Equals, wire.Code_CODE_INVALID)
+	c.Assert(o.GetReason(), qt.Equals, "buckets: the service has 2048 for life")
+}
--- a/internal/roster/service.go
+++ b/internal/roster/service.go
@@ -12,12 +12,8 @@
 	"mangokeel/pkg/settings"
 )
 
-const (
-	// buckets is fixed for the life of a service, because nodes index flows by it.
-	buckets = 4096
-	// resetLen is the length of a stateless reset key in bytes.
-	resetLen = 32
-)
+// resetLen is the length of a stateless reset key in bytes.
+const resetLen = 32
 
 // service is one live service.
 type service struct {
@@ -29,8 +25,9 @@
 	journal *journal
 }
 
-// create adds a service for a path.
-func (s *step) create(team, name, path string) *service {
+// create adds a service for a path. The number of buckets is fixed for the life of
+// a service, because nodes index flows by it.
+func (s *step) create(team, name, path string, buckets uint32) *service {
 	id := s.m.nextService
 	s.m.nextService++
 	svc := &service{
--- a/internal/roster/tree.go
+++ b/internal/roster/tree.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"fmt"
 	"maps"
 	"slices"
 	"strings"
@@ -115,9 +116,26 @@
 			return nil, refused(code, it.GetPath(), reason)
 		}
 	}
+	if bad := m.checkBuckets(d); bad != nil {
+		return nil, bad
+	}
 	return d, m.checkAddresses(d)
 }
 
+// checkBuckets refuses another number of buckets for a service that exists.
+func (m *Machine) checkBuckets(d *draft) *wire.Outcome {
+	for _, path := range slices.Sorted(maps.Keys(d.services)) {
+		svc := m.services[m.index.paths[path]]
+		if svc == nil {
+			continue
+		}
+		if n := svc.record.GetBuckets(); n != d.services[path].BucketCount() {
+			return refused(wire.Code_CODE_INVALID, path, fmt.Sprintf("buckets: the service has %d for life", n))
+		}
+	}
+	return nil
+}
+
 // add checks one item. It returns a reason when the item is refused.
 func (d *draft) add(it *wire.Item) (wire.Code, string) {
 	team, kind, last, ok := SplitPath(it.GetPath())
@@ -206,7 +224,7 @@
 		svc := s.m.services[s.m.index.paths[path]]
 		if svc == nil {
 			_, _, last, _ := SplitPath(path)
-			svc = s.create(t.name, last, path)
+			svc = s.create(t.name, last, path, d.services[path].BucketCount())
 		}
 		s.configure(svc, d.services[path])
 	}
--- a/internal/view/scale_test.go
+++ b/internal/view/scale_test.go
@@ -17,6 +17,7 @@
 		x := service(1)
 		x.Id, x.Buckets = uint32(i+1), 1024
 		x.Name = fmt.Sprintf("service-%d", i)
+		x.Secrets = []*wire.Secret{{Number: 1, Key: make([]byte, 16)}}
 		u.Services = append(u.Services, x)
 		for range 8 {
 			t := target(h, nil)
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -175,6 +175,7 @@
 		fault(s.Protocol == "http" || s.Protocol == "udp", "protocol", "%q is not http or udp", s.Protocol),
 		need("zones", len(s.Zones) > 0),
 		s.checkZones(),
+		s.checkBuckets(),
 		within("slots", s.Slots, 0, maxSlots),
 		within("connections", s.Connections, 0, maxConnections),
 		within("queue", s.Queue, 0, maxQueue),
@@ -185,6 +186,14 @@
 	)
 }
 
+func (s *Service) checkBuckets() *Error {
+	n := s.BucketCount()
+	if n < minBuckets || n > maxBuckets || n&(n-1) != 0 {
+		return fault(false, "buckets", "%d is not a power of two between %d and %d", s.Buckets, minBuckets, maxBuckets)
+	}
+	return nil
+}
+
 func (s *Service) checkZones() *Error {
 	for i, z := range s.Zones {
 		key := fmt.Sprintf("zones[%d]", i)
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -167,12 +167,32 @@
 	Key  string `yaml:"key"`
 }
 
+// Buckets of a service. With the default, 4,800 services take 10 MB of tables on a
+// node, and the shares of 10 targets differ by less than 1%.
+const (
+	DefaultBuckets = 1024
+	minBuckets     = 256
+	maxBuckets     = 1 << 16
+)
+
+// BucketCount returns the number of buckets with the default applied.
+func (s *Service) BucketCount() uint32 {
+	if s.Buckets == 0 {
+		return DefaultBuckets
+	}
+	return uint32(s.Buckets)
+}
+
 // Service is the document at /TEAM/services/NAME.
 type Service struct {
 	Address netip.AddrPort `yaml:"address"`
 	// Protocol is "http" or "udp".
 	Protocol string   `yaml:"protocol"`
 	Zones    []string `yaml:"zones"`
+	// Buckets is the number of buckets that callers hash to, a power of two; 0
+	// means DefaultBuckets. It is fixed for the life of the service. A service that
+	// will have more than 100 targets needs about 100 buckets for each of them.
+	Buckets int `yaml:"buckets"`
 	// Slots is the upper limit of concurrent requests for each target.
 	Slots int `yaml:"slots"`
 	// Connections is the upper limit of connections for each target.
