replica: create a cluster only among empty logs, count cut logs by consent

Cause: schedules in which elections collide found three faults. Ruled out: telling a torn tail from a bad one; refusing votes brings no lost copy back. Change: an instance whose log is empty may change its cluster; a leader announces the cluster at the addresses of former voters, and instances that know of one create none; votes of cut logs count when all voters grant theirs. The announcement does not reach machines that are cut off from the whole cluster.

--- a/internal/replica/change.go
+++ b/internal/replica/change.go
@@ -78,7 +78,7 @@
 	}
 	x := &wire.Member{Id: r.GetFrom(), Name: r.GetName(), Address: addr.String(), Joining: voter, Replaces: replaces}
 	return n.alter(ctx, "", func(m *wire.Membership) (*wire.Membership, error) {
-		if c := r.GetCluster(); c != "" && c != n.engine.core.meta.GetCluster() {
+		if !r.GetEmpty() && r.GetCluster() != n.engine.core.meta.GetCluster() {
 			return nil, errors.Wrapf(ErrMember, "%s belongs to another cluster", addr)
 		}
 		return withLearner(m, x)
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -20,6 +20,8 @@
 	maxElection = 1000 * time.Millisecond
 	// firstTerm is the term of the entry that creates the cluster.
 	firstTerm = 1
+	// announceInterval is well below the time that a machine takes to start.
+	announceInterval = 500 * time.Millisecond
 	// retryTimeout is the time after which entries or a snapshot part that were
 	// not answered are sent again.
 	retryTimeout = time.Second
@@ -96,7 +98,7 @@
 }
 
 // ballot is an answer to a candidate.
-type ballot struct{ granted, torn bool }
+type ballot struct{ granted, cut bool }
 
 // core decides what one instance of the replicated log does. It does no I/O: its
 // methods take the time and messages, and take returns what is to be done.
@@ -143,11 +145,15 @@
 	// opening is the first entry of the leader's term.
 	opening uint64
 	beat    time.Time
+	// announced is the last time former voters were told of the cluster.
+	announced time.Time
 
 	// partial is the snapshot being received.
 	partial *wire.Snapshot
-	// fresh holds the uninitialised instances found for the first start.
+	// fresh holds the empty instances found for the first start.
 	fresh map[netip.AddrPort]*wire.VoteReply
+	// known is set once another cluster is known to exist.
+	known bool
 
 	dirty    bool
 	unstable uint64 // first entry to persist, or 0
@@ -232,7 +238,7 @@
 	case c.role == leader:
 		c.lead()
 	case c.now.Before(c.deadline):
-	case c.meta.GetCluster() == "":
+	case c.empty():
 		c.identify()
 	default:
 		c.campaign()
@@ -273,18 +279,23 @@
 	c.messages = append(c.messages, message{call: call, err: errors.New(reason)})
 }
 
-// admit checks the addressing of a request and joins the sender's cluster when
-// this instance has none. A fresh instance may do so because it never confirmed
-// anything, and its id is known only to the cluster that admitted it.
+// empty reports whether the log never had an entry.
+func (c *core) empty() bool {
+	return c.log.last() == 0 && c.state == nil && !c.meta.GetCut()
+}
+
+// admit checks the addressing of a request and joins the sender's cluster while
+// the log is empty. Then the instance never confirmed an entry of any cluster, and
+// its id is known only to clusters that count on it.
 func (c *core) admit(call uint64, cluster, to string) bool {
 	switch {
 	case to != c.id():
 		c.refuse(call, "instance "+to+" is not here")
 		return false
-	case cluster == "" || c.meta.GetCluster() != "" && c.meta.GetCluster() != cluster:
+	case cluster == "" || c.meta.GetCluster() != cluster && !c.empty():
 		c.refuse(call, "other cluster")
 		return false
-	case c.meta.GetCluster() == "":
+	case c.meta.GetCluster() != cluster:
 		c.meta.Cluster = cluster
 		c.dirty = true
 		c.fresh = nil
--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -8,12 +8,12 @@
 )
 
 // identify asks the instances of the first start who they are. The one with the
-// lowest address creates the cluster once all of them are known to be fresh. An
-// instance that lost its folder finds the others initialised and so waits to be
+// lowest address creates the cluster once all of them are known to be empty. An
+// instance that lost its folder finds others that are not, and waits to be
 // admitted.
 func (c *core) identify() {
 	c.resetDeadline()
-	if !slices.Contains(c.bootstrap, c.address) || !c.lowest() {
+	if c.known || !slices.Contains(c.bootstrap, c.address) || !c.lowest() {
 		return
 	}
 	if c.fresh == nil {
@@ -50,17 +50,18 @@
 		m.Members = append(m.Members, &wire.Member{Id: r.GetFrom(), Name: r.GetName(), Address: a.String(), Voter: true})
 	}
 	c.fresh = nil
-	c.meta.Cluster, c.meta.Term = c.id(), firstTerm
+	c.meta.Cluster, c.meta.Term = c.id(), max(firstTerm, c.term())
+	c.meta.Created = c.term()
 	c.dirty = true
 	c.appendOwn(&wire.Entry{Body: &wire.Entry_Membership{Membership: m}})
 	c.findMembership()
 	c.campaign()
 }
 
-// campaign asks for pre-votes. Instances that may not vote only wait.
+// campaign asks for pre-votes. Instances that may not lead only wait.
 func (c *core) campaign() {
 	c.resetDeadline()
-	if !c.eligible() || c.meta.GetDamage() == wire.Damage_DAMAGE_BAD {
+	if !c.eligible() {
 		return
 	}
 	c.role = preCandidate
@@ -89,7 +90,7 @@
 }
 
 func (c *core) canvass(phase wire.Phase, term uint64) {
-	c.ballots = map[string]ballot{c.id(): {granted: true, torn: c.torn()}}
+	c.ballots = map[string]ballot{c.id(): {granted: true, cut: c.meta.GetCut()}}
 	for _, id := range voters(c.membership) {
 		if id == c.id() {
 			continue
@@ -107,13 +108,13 @@
 	c.count()
 }
 
-func (c *core) torn() bool { return c.meta.GetDamage() != wire.Damage_DAMAGE_UNSPECIFIED }
-
 // count checks whether the ballots suffice. A voter whose log lost its tail may
-// have forgotten a committed entry, so its vote counts only when every voter
-// grants one: then the candidate has the longest of all logs.
+// have forgotten a committed entry, so it does not count towards a majority. Only
+// when every voter grants its vote may the candidate do without: its log is then
+// the longest of all, and what it lacks is on no disk. Without this a power failure
+// of all instances could leave the log without a leader for good.
 func (c *core) count() {
-	won := majority(c.membership, func(id string) bool { b := c.ballots[id]; return b.granted && !b.torn })
+	won := majority(c.membership, func(id string) bool { b := c.ballots[id]; return b.granted && !b.cut })
 	all := true
 	for _, id := range voters(c.membership) {
 		all = all && c.ballots[id].granted
@@ -130,7 +131,10 @@
 func (c *core) handleVote(call uint64, m *wire.VoteRequest) {
 	r := &wire.VoteReply{Phase: m.GetPhase(), From: c.id(), Asked: m.GetTerm()}
 	if m.GetPhase() == wire.Phase_PHASE_IDENTIFY {
+		c.known = c.known || m.GetCluster() != "" && m.GetCluster() != c.meta.GetCluster()
+		r.Known = c.known
 		r.Cluster, r.Name, r.Address, r.Term = c.meta.GetCluster(), c.name, c.address.String(), c.term()
+		r.Empty = c.empty()
 		c.reply(call, r)
 		return
 	}
@@ -138,7 +142,7 @@
 		return
 	}
 	r.Granted = !c.led() && c.grant(m)
-	r.Torn = c.torn()
+	r.Cut = c.meta.GetCut()
 	r.Term = c.term()
 	c.reply(call, r)
 }
@@ -153,15 +157,14 @@
 func (c *core) grant(m *wire.VoteRequest) bool {
 	current := m.GetLastTerm() > c.log.lastTerm() ||
 		m.GetLastTerm() == c.log.lastTerm() && m.GetLastIndex() >= c.log.last()
-	able := c.meta.GetDamage() != wire.Damage_DAMAGE_BAD
 	if m.GetPhase() == wire.Phase_PHASE_PRE {
-		return able && current && m.GetTerm() > c.term()
+		return current && m.GetTerm() > c.term()
 	}
 	if m.GetTerm() > c.term() {
 		c.follow(m.GetTerm(), "")
 	}
 	free := c.meta.GetVote() == "" || c.meta.GetVote() == m.GetFrom()
-	if !able || !current || m.GetTerm() != c.term() || !free {
+	if !current || m.GetTerm() != c.term() || !free {
 		return false
 	}
 	c.meta.Vote = m.GetFrom()
@@ -184,13 +187,12 @@
 	if !pre && !vote {
 		return
 	}
-	c.ballots[m.GetFrom()] = ballot{granted: m.GetGranted(), torn: m.GetTorn()}
+	c.ballots[m.GetFrom()] = ballot{granted: m.GetGranted(), cut: m.GetCut()}
 	c.count()
 }
 
 func (c *core) handleIdentity(m *wire.VoteReply) {
-	// Others may have heard of a creation by this instance that it undid.
-	if c.meta.GetCluster() != "" || m.GetCluster() != "" && m.GetCluster() != c.id() {
+	if !c.empty() || !m.GetEmpty() || m.GetKnown() {
 		c.fresh = nil
 		return
 	}
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -91,10 +91,10 @@
 // earlier leaders committed.
 func (c *core) recover(m *wire.AppendRequest) {
 	t, ok := c.log.term(m.GetCommit())
-	if !c.torn() || m.GetEcho().GetStart() != c.meta.GetStarts() || c.commit < m.GetCommit() || !ok || t != m.GetTerm() {
+	if !c.meta.GetCut() || m.GetEcho().GetStart() != c.meta.GetStarts() || c.commit < m.GetCommit() || !ok || t != m.GetTerm() {
 		return
 	}
-	c.meta.Damage = wire.Damage_DAMAGE_UNSPECIFIED
+	c.meta.Cut = false
 	c.dirty = true
 }
 
--- a/internal/replica/leader.go
+++ b/internal/replica/leader.go
@@ -81,6 +81,23 @@
 	}
 	c.beat = c.now
 	c.eachPeer(c.heartbeat)
+	c.announce()
+}
+
+// announce tells whatever runs at the addresses of former voters that the cluster
+// exists. Otherwise the machines of the first start could create a second one,
+// once all of them had lost their disks and been replaced by others, one by one.
+func (c *core) announce() {
+	if c.now.Sub(c.announced) < announceInterval {
+		return
+	}
+	c.announced = c.now
+	for _, a := range c.membership.GetFormer() {
+		to, err := netip.ParseAddrPort(a)
+		if err == nil {
+			c.send(to, &wire.VoteRequest{Phase: wire.Phase_PHASE_IDENTIFY, Cluster: c.meta.GetCluster(), From: c.id()})
+		}
+	}
 }
 
 // at is the inverse of nanos.
--- a/internal/replica/membership.go
+++ b/internal/replica/membership.go
@@ -10,6 +10,9 @@
 	"mangokeel/internal/wire"
 )
 
+// formerLimit bounds the former addresses of a membership.
+const formerLimit = 32
+
 // Errors of membership changes.
 var (
 	// ErrChanging means that another membership change has not ended yet.
@@ -162,6 +165,12 @@
 func final(m *wire.Membership) *wire.Membership {
 	n := clone(m)
 	n.Joint = false
+	for _, x := range n.GetMembers() {
+		if !x.GetNext() && !x.GetLearner() {
+			n.Former = append(n.Former, x.GetAddress())
+		}
+	}
+	n.Former = n.Former[max(0, len(n.Former)-formerLimit):]
 	n.Members = slices.DeleteFunc(n.Members, func(x *wire.Member) bool { return !x.GetNext() && !x.GetLearner() })
 	for _, x := range n.GetMembers() {
 		x.Voter = x.GetNext()
--- a/internal/replica/metrics.go
+++ b/internal/replica/metrics.go
@@ -66,8 +66,9 @@
 	Joint    bool
 	Last     uint64
 	Snapshot uint64
-	Damage   string
-	Error    string `json:",omitempty"`
+	// Cut is set after the log lost its tail, until it has caught up.
+	Cut   bool
+	Error string `json:",omitempty"`
 }
 
 // Dump returns the present state as a value for encoding/json.
@@ -80,7 +81,7 @@
 		Joint:     v.membership.GetJoint(),
 		Last:      v.last,
 		Snapshot:  v.snapshot,
-		Damage:    v.damage.String(),
+		Cut:       v.cut,
 	}
 	if err := n.Err(); err != nil {
 		d.Error = err.Error()
--- a/internal/replica/record.go
+++ b/internal/replica/record.go
@@ -13,20 +13,14 @@
 
 // A record is a header and a payload. The header has the magic, the length and
 // the CRC-32C of the payload, and the CRC-32C of these 12 bytes, all little
-// endian. Its own checksum tells a record that is cut short from one whose length
-// is wrong.
+// endian. Its own checksum keeps a wrong length from hiding the records that follow.
 const (
 	headerSize = 16
 	magic      = "mkr1"
 )
 
-// Errors of decode.
-var (
-	// errTorn means that the bytes end within a record.
-	errTorn = errors.New("record is incomplete")
-	// errBad means that a checksum does not match.
-	errBad = errors.New("record fails its checksum")
-)
+// errRecord means that bytes are no complete record or fail a checksum.
+var errRecord = errors.New("bad record")
 
 func checksum(b []byte) uint32 { return crc32.Checksum(b, crc32.MakeTable(crc32.Castagnoli)) }
 
@@ -51,25 +45,19 @@
 
 // decode reads the record at the start of b into m and returns its size.
 func decode(b []byte, m proto.Message) (int, error) {
-	if len(b) < headerSize {
-		if n := min(len(b), len(magic)); string(b[:n]) != magic[:n] {
-			return 0, errBad
-		}
-		return 0, errTorn
-	}
-	if !goodHeader(b) {
-		return 0, errBad
+	if len(b) < headerSize || !goodHeader(b) {
+		return 0, errRecord
 	}
 	n := uint64(binary.LittleEndian.Uint32(b[4:]))
 	if uint64(len(b)-headerSize) < n {
-		return 0, errTorn
+		return 0, errRecord
 	}
 	payload := b[headerSize : headerSize+n]
 	if checksum(payload) != binary.LittleEndian.Uint32(b[8:]) {
-		return 0, errBad
+		return 0, errRecord
 	}
 	if err := proto.Unmarshal(payload, m); err != nil {
-		return 0, errors.WithSecondaryError(errBad, err)
+		return 0, errors.WithSecondaryError(errRecord, err)
 	}
 	return headerSize + int(n), nil
 }
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -91,7 +91,7 @@
 	confirmed  time.Time
 	membership *wire.Membership
 	counts     counts
-	damage     wire.Damage
+	cut        bool
 	role       role
 	last       uint64
 	snapshot   uint64
@@ -225,7 +225,7 @@
 // publish makes the state visible and fails what waits for a lost leadership.
 func (n *Node) publish() {
 	e, c := n.engine, n.engine.core
-	v := view{membership: c.membership, counts: c.counts, damage: c.meta.GetDamage(), role: c.role}
+	v := view{membership: c.membership, counts: c.counts, cut: c.meta.GetCut(), role: c.role}
 	v.status, v.now, v.confirmed = e.status()
 	v.last, v.snapshot = c.log.last(), c.state.GetIndex()
 	n.mu.Lock()
@@ -260,8 +260,8 @@
 	if old.membership != v.membership {
 		_ = level.Info(n.opts.logger).Log("msg", "membership changed", "members", len(v.membership.GetMembers()), "joint", v.membership.GetJoint())
 	}
-	if old.damage != v.damage {
-		_ = level.Warn(n.opts.logger).Log("msg", "log damage changed", "damage", v.damage)
+	if old.cut != v.cut {
+		_ = level.Warn(n.opts.logger).Log("msg", "log tail", "cut", v.cut)
 	}
 }
 
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -44,17 +44,26 @@
 	// cut holds pairs of hosts between which messages are lost, one way.
 	cut map[[2]int]bool
 	// leaders has the leader of each term, chains the state after each revision.
-	leaders map[uint64]string
+	// A cluster whose instances lost their disks before its first entry was synced
+	// on a majority gives way to another one, which starts again at the first term.
+	leaders map[epoch]string
 	chains  map[uint64]uint64
 	// accepted is in order of time; index is the highest one so far.
 	accepted []acceptance
 	// lost has the ids whose disks lost something.
-	lost    map[string]bool
+	lost map[string]bool
+	// storm makes elections collide, hosts restart at once and leaders stop early.
+	storm   bool
 	healing bool
 	trace   uint64
 	stats   stats
 }
 
+type epoch struct {
+	cluster string
+	term    uint64
+}
+
 type acceptance struct {
 	at    time.Time
 	index uint64
@@ -131,10 +140,11 @@
 		start:   start,
 		r:       rand.New(rand.NewPCG(seed, 1)),
 		cut:     map[[2]int]bool{},
-		leaders: map[uint64]string{},
+		leaders: map[epoch]string{},
 		chains:  map[uint64]uint64{},
 		lost:    map[string]bool{},
 	}
+	s.storm = s.r.IntN(3) == 0
 	voters := 3 + 2*s.r.IntN(2)
 	var members []Member
 	for i := range voters + 2 {
@@ -185,8 +195,11 @@
 	h.machine = &chain{s: h.s}
 	h.pending, h.calls, h.queue, h.frozen = map[uint64]uint64{}, map[uint64]func(message){}, nil, false
 	seed := h.s.r.Uint64()
+	if h.s.storm {
+		seed = uint64(h.life)
+	}
 	o := optionsOf([]Option{WithSeed(seed), WithSnapshots(40, 1<<20, 10)})
-	o.segmentBytes, o.batchBytes, o.snapshotPart = 1000, 200, 7
+	o.segmentBytes, o.batchBytes, o.snapshotPart = 1000, 1+200*h.s.r.IntN(2), 7
 	e := &engine{machine: h.machine, clock: h, send: h.send, done: h.done, opts: o}
 	var err error
 	stopped := h.guard(func() { err = e.open(h.disk, h.cfg) })
@@ -229,7 +242,11 @@
 		h.disk.Crash()
 	}
 	life := h.life
-	h.s.t.After(time.Duration(50+h.s.r.IntN(1500))*time.Millisecond, func(time.Time) {
+	pause := time.Duration(50+h.s.r.IntN(1500)) * time.Millisecond
+	if h.s.storm {
+		pause /= 50
+	}
+	h.s.t.After(pause, func(time.Time) {
 		if h.life == life {
 			h.boot()
 		}
@@ -258,6 +275,9 @@
 
 func (h *host) send(m message) {
 	h.countdown()
+	if r, ok := m.body.(*wire.VoteReply); ok && r.GetGranted() && h.s.storm && !h.s.healing && h.s.r.IntN(4) == 0 {
+		h.steps, h.power = 1, true
+	}
 	if m.call != 0 {
 		h.calls[m.call](m)
 		delete(h.calls, m.call)
@@ -293,10 +313,14 @@
 
 // pass runs fn at a host after a delay that is sometimes long.
 func (s *sim) pass(from, to *host, fn func()) {
-	if s.cut[[2]int{from.i, to.i}] || !s.healing && s.r.IntN(100) == 0 {
+	loss, delay := 100, 4000
+	if s.storm {
+		loss, delay = 3, 40000
+	}
+	if s.cut[[2]int{from.i, to.i}] || !s.healing && s.r.IntN(loss) == 0 {
 		return
 	}
-	d := time.Duration(200+s.r.IntN(4000)) * time.Microsecond
+	d := time.Duration(200+s.r.IntN(delay)) * time.Microsecond
 	if !s.healing && s.r.IntN(50) == 0 {
 		d = time.Duration(s.r.IntN(3000)) * time.Millisecond
 	}
@@ -322,10 +346,14 @@
 func (s *sim) check(h *host) {
 	c := h.e.core
 	if c.role == leader {
-		if id := s.leaders[c.term()]; id != "" && id != c.id() {
+		at := epoch{c.meta.GetCluster(), c.term()}
+		if id := s.leaders[at]; id != "" && id != c.id() {
 			broken("leaders %s and %s in term %d", id, c.id(), c.term())
 		}
-		s.leaders[c.term()] = c.id()
+		if s.leaders[at] == "" && s.storm && !s.healing && s.r.IntN(2) == 0 {
+			h.steps, h.power = 1+s.r.IntN(40), true
+		}
+		s.leaders[at] = c.id()
 	}
 	st, seen, confirmed := h.e.status()
 	if st.Applied > st.Committed {
@@ -336,7 +364,7 @@
 	if n > 0 && s.accepted[n-1].index > uint64(st.Applied) {
 		broken("%v claims age %v but lacks entry %d", c, s.t.Now().Sub(since), s.accepted[n-1].index)
 	}
-	if c.meta.GetDamage() == 0 && c.meta.GetCluster() != "" && h.disk.Hook != nil {
+	if c.meta.GetCluster() != "" && h.disk.Hook != nil {
 		s.trace = xxhash.Sum64(fmt.Appendf(nil, "%d %v %d %v", s.trace, s.t.Now(), h.e.applied, c))
 	}
 }
@@ -397,10 +425,10 @@
 	})
 }
 
-// spare returns a host with a whole disk that is no member.
+// spare returns a host with a whole or an empty disk that is no member.
 func (s *sim) spare(m *wire.Membership) *host {
 	for _, i := range s.r.Perm(len(s.hosts)) {
-		if h := s.hosts[i]; h.e != nil && find(m, h.id) == nil && !s.lost[h.id] {
+		if h := s.hosts[i]; h.e != nil && find(m, h.id) == nil && (!s.lost[h.id] || h.e.core.empty()) {
 			return h
 		}
 	}
@@ -591,7 +619,7 @@
 		}
 		whole := majority(h.e.core.membership, func(id string) bool {
 			x := s.current(id)
-			return x != nil && x.e != nil && !x.e.core.torn()
+			return x != nil && x.e != nil && !x.e.core.meta.GetCut()
 		})
 		if !whole && s.leader() == nil {
 			return true
@@ -604,7 +632,7 @@
 	var out string
 	for _, h := range s.hosts {
 		if h.e != nil {
-			out += fmt.Sprintf("\n%v applied %d damage %v members %v", h.e.core, h.e.applied, h.e.core.meta.GetDamage(), h.e.core.membership)
+			out += fmt.Sprintf("\n%v applied %d cut %v members %v", h.e.core, h.e.applied, h.e.core.meta.GetCut(), h.e.core.membership)
 		} else {
 			out += fmt.Sprintf("\n%s down", h.id)
 		}
--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -212,17 +212,17 @@
 }
 
 // undo makes an instance fresh again that stopped while it created the cluster:
-// it had recorded the cluster but not yet the first entry. It starts elections
-// only after that entry is synced, so in a later term the entry must exist.
+// it had recorded the cluster but not yet the first entry. Every election raises
+// the term, so nobody can rely on the entry while the term is still the same.
 func (s *storage) undo(r *reader, st *stored) error {
 	if s.meta.GetCluster() != s.meta.GetId() || st.snapshot != nil || r.log.last() > 0 {
 		return nil
 	}
-	if s.meta.GetTerm() > firstTerm {
+	if s.meta.GetTerm() != s.meta.GetCreated() {
 		return corrupt("log is empty in term %d", s.meta.GetTerm())
 	}
 	s.meta.Cluster = ""
-	s.meta.Damage, r.damage = wire.Damage_DAMAGE_UNSPECIFIED, wire.Damage_DAMAGE_UNSPECIFIED
+	s.meta.Cut, r.undone = false, true
 	return nil
 }
 
@@ -244,12 +244,13 @@
 	// begun is set after the first batch.
 	begun bool
 	// reset is the index of the last reset, which a snapshot must reach.
-	reset  uint64
-	damage wire.Damage
+	reset uint64
 	// size is that of the good part of the last segment.
 	size, cut int
 	// newest is the last batch of the last segment, or nil.
 	newest *wire.Batch
+	// undone is set when what was cut is known to matter to nobody.
+	undone bool
 }
 
 func (s *storage) readSegment(r *reader, i int) error {
@@ -281,10 +282,6 @@
 		return errors.WithSecondaryError(corrupt("%s has a bad record before good ones", name), err)
 	}
 	r.cut = len(b)
-	r.damage = wire.Damage_DAMAGE_BAD
-	if errors.Is(err, errTorn) {
-		r.damage = wire.Damage_DAMAGE_TORN
-	}
 	return nil
 }
 
@@ -311,12 +308,12 @@
 	return nil
 }
 
-// start records the start and the damage before the tail is cut, so that a second
+// start records the start and the cut before the tail is cut, so that a second
 // start does not take the shortened log for whole.
 func (s *storage) start(r *reader) error {
 	m := proto.Clone(s.meta).(*wire.Meta)
 	m.Starts++
-	m.Damage = max(m.GetDamage(), r.damage)
+	m.Cut = m.GetCut() || r.cut > 0 && !r.undone
 	newest := s.segments[len(s.segments)-1].number
 	m.Segment = newest
 	if err := s.writeMeta(m); err != nil {
