--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -26,7 +26,10 @@
 func (a *Agent) Run() error {
 	<-a.stop
 	_ = level.Info(a.log).Log("msg", "leaving")
+	a.target.Leave()
 	a.drain()
+	// A poll after the departure would join the roster again.
+	a.follower.Close()
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
 	defer cancel()
 	if err := a.follower.Leave(ctx, true); err != nil {
@@ -39,15 +42,18 @@
 // Stop makes Run leave. It returns at once.
 func (a *Agent) Stop() { a.stopOnce.Do(func() { close(a.stop) }) }
 
-// drain announces the departure until control has accepted it, and waits. When
-// the drain time has passed before, flows are cut nevertheless.
+// drain announces the departure until control has accepted it, and waits. It is
+// announced again for a handle that was given in the meantime, after the lease of
+// the one before has ended. Flows that outlast the drain time are cut.
 func (a *Agent) drain() {
 	begin := a.timers.Now()
-	announced := false
+	var announced mangokeel.Handle
 	for {
-		if !announced {
+		if h := a.Handle(); announced != h {
 			ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
-			announced = a.follower.Leave(ctx, false) == nil
+			if a.follower.Leave(ctx, false) == nil {
+				announced = h
+			}
 			cancel()
 		}
 		spent := a.timers.Now().Sub(begin)
@@ -81,7 +87,7 @@
 func (a *Agent) busy() int {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	n := a.flows() + int(a.counters.running.Load())
+	n := a.flows() + max(int(a.counters.running.Load()), a.target.Running())
 	if a.reg != nil && a.reg.endpoint != nil {
 		// Handshakes that have begun are in the table only.
 		n += a.reg.table.Len()
@@ -105,6 +111,7 @@
 	a.streams.close()
 	a.udp.Close()
 	a.done.Wait()
+	a.target.Close()
 }
 
 // Leaving reports whether control knows that the target leaves.
