roster: keep a balancer that announces its departure until it has gone

Cause: the first of a balancer's two announcements dropped it from the roster. Its next poll was answered "unknown" and it joined again under a new id while leaving. Ruled out: a follower that stops polling after the first announcement, because its view would age while it still forwards.

--- a/internal/roster/node.go
+++ b/internal/roster/node.go
@@ -122,7 +122,11 @@
 		if b == nil || !bytes.Equal(b.GetIncarnation(), x.GetIncarnation()) {
 			return refused(wire.Code_CODE_UNKNOWN, "", "not in the roster")
 		}
-		s.dropBalancer(x.GetId())
+		// A leaving balancer still forwards and follows. Dropped at once, it would be
+		// told that it is unknown and join again.
+		if x.GetGone() {
+			s.dropBalancer(x.GetId())
+		}
 		return accepted(s.revision)
 	}
 	h := mangokeel.Handle(x.GetId())
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -201,3 +201,19 @@
 	c.Assert(d.Service(1).GetHome().GetNow(), qt.DeepEquals, []uint32{3, 4, 5})
 	c.Assert(d.Service(1).GetHome().GetNext(), qt.HasLen, 0)
 }
+
+// Guards against a leaving balancer that is dropped while it still forwards, and
+// that then joins again.
+func TestBalancerLeavesInTwoSteps(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver()
+	id := d.apply(&wire.Command{Body: &wire.Command_Join{Join: &wire.JoinRequest{
+		Role: wire.Role_ROLE_BALANCER, Incarnation: []byte("a"), Zone: "ebene", Data: "127.0.0.1:5",
+	}}}).GetJoin().GetId()
+	for _, gone := range []bool{false, true} {
+		d.apply(&wire.Command{Body: &wire.Command_Leave{Leave: &wire.LeaveRequest{
+			Role: wire.Role_ROLE_BALANCER, Id: id, Incarnation: []byte("a"), Gone: gone,
+		}}})
+		c.Assert(d.Balancer(id) == nil, qt.Equals, gone)
+	}
+}
