fabric, settings: replies only from the target's agent; drain time as a setting

Any datagram with a REPLY header left through a service's socket, whoever sent it. The balancer now compares the sender with the agent of the header's target and refuses replies of targets that have left; handles newer than the view pass. Ruled out: a table of all agents' addresses, which each update would have to rebuild.

The time for which a stopping balancer keeps TCP connections can be set; it was fixed at 30 s, which is the default.

--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -101,7 +101,8 @@
 	return func(b *Balancer) { b.listen = fn }
 }
 
-// WithDrain bounds how long a leaving balancer keeps TCP connections.
+// WithDrain bounds how long a leaving balancer keeps TCP connections. It takes
+// precedence over the settings.
 func WithDrain(d time.Duration) Option { return func(b *Balancer) { b.drain = d } }
 
 // WithLinger sets how long a balancer that has left still forwards packets.
@@ -126,6 +127,9 @@
 		failed:  map[mangokeel.ServiceID]string{},
 		stop:    make(chan struct{}),
 	}
+	if cfg.Drain > 0 {
+		b.drain = time.Duration(cfg.Drain)
+	}
 	for _, o := range opts {
 		o(b)
 	}
--- a/internal/fabric/balancer_test.go
+++ b/internal/fabric/balancer_test.go
@@ -212,8 +212,9 @@
 	return c
 }
 
-// Guards against packets that do not come back, and against crashes and lost
-// service after garbage, foreign services and oversized packets.
+// Guards against packets that do not come back, against crashes and lost service
+// after garbage, foreign services and oversized packets, and against replies that
+// others send in a target's name.
 func TestPacketsAndGarbage(t *testing.T) {
 	c := qt.New(t)
 	x := start(t, 3)
@@ -247,11 +248,13 @@
 		reply(&wire.Header{Kind: wire.Kind_KIND_REPLY, Service: 1}),
 		reply(&wire.Header{Kind: wire.Kind_KIND_REPLY, Service: 1, CallerPort: 1 << 20}),
 		reply(&wire.Header{Kind: wire.Kind_KIND_REPLY, Service: 77, CallerPort: 5}),
+		reply(&wire.Header{Kind: wire.Kind_KIND_REPLY, Service: 1, CallerPort: 5, Handle: 1}),
+		reply(&wire.Header{Kind: wire.Kind_KIND_REPLY, Service: 1, CallerPort: 5, Handle: 50}),
 	} {
 		_, err := raw.Write(b)
 		c.Assert(err, qt.IsNil)
 	}
-	eventually(t, func() bool { return x.metric("mangokeel_balancer_dropped_total") == 10 })
+	eventually(t, func() bool { return x.metric("mangokeel_balancer_dropped_total") == 12 })
 	echo()
 	c.Assert(x.metric("mangokeel_invariant_violations_total"), qt.Equals, 0.0)
 	_, err = json.Marshal(x.Dump())
--- a/internal/fabric/metrics.go
+++ b/internal/fabric/metrics.go
@@ -14,6 +14,7 @@
 	dropService   = "unknown-service"
 	dropOversized = "oversized"
 	dropMalformed = "malformed-reply"
+	dropAgent     = "foreign-reply"
 	dropSend      = "send-failed"
 	dropInvariant = "invariant"
 )
