fabric: planned stop waits for the fabric and for open connections

Cause: a stopping balancer without connections closed its sockets within 50 ms although the fabric still sent to it, and one with connections cut them after 30 s. Ruled out: closing the listeners first, which refuses callers until the fabric has noticed.

A stopping balancer now accepts connections for 5 s more, while its status address no longer answers, then refuses new ones, and leaves when the open ones have ended or after 8 h (setting drain).

--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -31,8 +31,13 @@
 
 // Timing of a balancer.
 const (
-	// defaultDrain bounds how long a leaving balancer keeps TCP connections.
-	defaultDrain = 30 * time.Second
+	// defaultGrace is how long a leaving balancer still accepts connections. The
+	// status address stops to answer at once, so that a fabric which checks it every
+	// second or two has moved to other balancers by then.
+	defaultGrace = 5 * time.Second
+	// defaultDrain bounds how long a leaving balancer keeps TCP connections. A
+	// dispatch feed stays open for a whole shift.
+	defaultDrain = 8 * time.Hour
 	// drainCheck is the period at which a leaving balancer counts connections.
 	drainCheck = 50 * time.Millisecond
 	// bindRetry is the period at which failed service sockets are tried again.
@@ -57,6 +62,7 @@
 	reg     prometheus.Registerer
 	timers  mangokeel.Timers
 	listen  func(netip.AddrPort) (mangokeel.Fabric, error)
+	grace   time.Duration
 	drain   time.Duration
 	linger  time.Duration
 	readers int
@@ -73,6 +79,8 @@
 	open atomic.Pointer[endpoints]
 	// failed has the services whose sockets could not be opened.
 	failed map[mangokeel.ServiceID]string
+	// refusing is true once new TCP connections are refused.
+	refusing bool
 	// closed refuses to open sockets.
 	closed bool
 
@@ -101,6 +109,9 @@
 	return func(b *Balancer) { b.listen = fn }
 }
 
+// WithGrace sets how long a leaving balancer still accepts connections.
+func WithGrace(d time.Duration) Option { return func(b *Balancer) { b.grace = d } }
+
 // WithDrain bounds how long a leaving balancer keeps TCP connections. It takes
 // precedence over the settings.
 func WithDrain(d time.Duration) Option { return func(b *Balancer) { b.drain = d } }
@@ -120,6 +131,7 @@
 		reg:     prometheus.NewRegistry(),
 		timers:  timer.Real{},
 		listen:  ListenPackets,
+		grace:   defaultGrace,
 		drain:   defaultDrain,
 		linger:  defaultLinger,
 		readers: defaultReaders,
@@ -158,6 +170,8 @@
 func (b *Balancer) Run() error {
 	<-b.stop
 	b.leave(false)
+	b.wait(b.grace)
+	b.refuseStreams()
 	b.awaitStreams()
 	b.follower.Close()
 	b.leave(true)
@@ -183,6 +197,16 @@
 	_ = level.Info(b.log).Log("msg", "leaving", "gone", gone, "connections", b.streams.count())
 }
 
+// refuseStreams closes the TCP listeners. Open connections continue.
+func (b *Balancer) refuseStreams() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refusing = true
+	for _, e := range *b.open.Load() {
+		e.streams.Close()
+	}
+}
+
 // awaitStreams returns when no TCP connection is open or the drain time is over.
 func (b *Balancer) awaitStreams() {
 	done := make(chan struct{})
--- a/internal/fabric/balancer_test.go
+++ b/internal/fabric/balancer_test.go
@@ -171,7 +171,7 @@
 	}
 	x.control = &control{update: u}
 	cfg := settings.Balancer{Name: "b", Zone: "plaisance", Address: x.service.Addr(), Data: netip.AddrPortFrom(x.service.Addr(), 0), Control: []netip.AddrPort{{}}}
-	opts = append([]fabric.Option{fabric.WithRegisterer(x.reg), fabric.WithLinger(100 * time.Millisecond)}, opts...)
+	opts = append([]fabric.Option{fabric.WithRegisterer(x.reg), fabric.WithGrace(0), fabric.WithLinger(100 * time.Millisecond)}, opts...)
 	var err error
 	x.Balancer, err = fabric.New(cfg, x.control, opts...)
 	qt.Assert(t, err, qt.IsNil)
@@ -321,21 +321,27 @@
 	l.Close()
 }
 
-// Guards against a planned stop that cuts connections before the drain time, and
-// one that waits beyond it.
+// Guards against a planned stop that refuses connections at once, one that accepts
+// them for ever, and one that cuts connections before the drain time or waits
+// beyond it.
 func TestStopDrains(t *testing.T) {
 	for _, x := range []struct {
 		drain time.Duration
 		ends  bool
-	}{{time.Minute, true}, {200 * time.Millisecond, false}} {
+	}{{time.Minute, true}, {300 * time.Millisecond, false}} {
 		t.Run(fmt.Sprint(x.drain), func(t *testing.T) {
 			c := qt.New(t)
-			b := start(t, 1, fabric.WithDrain(x.drain))
+			b := start(t, 1, fabric.WithGrace(100*time.Millisecond), fabric.WithDrain(x.drain))
 			conn := b.dial(t, "tcp")
 			_, err := conn.Write([]byte("x"))
 			c.Assert(err, qt.IsNil)
 			b.Stop()
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(50 * time.Millisecond)
+			late := b.dial(t, "tcp")
+			late.Close()
+			time.Sleep(150 * time.Millisecond)
+			_, err = net.Dial("tcp", b.service.String())
+			c.Assert(err, qt.IsNotNil)
 			_, err = io.ReadFull(conn, make([]byte, 1))
 			c.Assert(err, qt.IsNil)
 			udp := b.dial(t, "udp")
--- a/internal/fabric/service.go
+++ b/internal/fabric/service.go
@@ -29,7 +29,8 @@
 	done sync.WaitGroup
 }
 
-// openEndpoint opens both sockets of a service and starts to serve them.
+// openEndpoint opens both sockets of a service and starts to serve them. The
+// caller must hold b.mu.
 func (b *Balancer) openEndpoint(id mangokeel.ServiceID, address netip.AddrPort) (*endpoint, error) {
 	packets, err := b.listen(address)
 	if err != nil {
@@ -40,6 +41,9 @@
 		packets.Close()
 		return nil, errors.Wrap(err, "listen for streams")
 	}
+	if b.refusing {
+		streams.Close()
+	}
 	e := &endpoint{id: id, address: address, packets: packets, streams: streams}
 	for range b.readers {
 		e.done.Go(func() { b.readPackets(e) })
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -143,7 +143,7 @@
 	Anycast bool `yaml:"anycast"`
 	// Data is the socket that agents send replies to.
 	Data netip.AddrPort `yaml:"data"`
-	// Drain bounds how long a stopping balancer keeps TCP connections; 0 means 30s.
+	// Drain bounds how long a stopping balancer keeps TCP connections; 0 means 8h.
 	Drain Duration `yaml:"drain"`
 	// Status serves /metrics and /dump.
 	Status  netip.AddrPort   `yaml:"status"`
