--- a/internal/roster/node.go
+++ b/internal/roster/node.go
@@ -122,8 +122,8 @@
 		if b == nil || !bytes.Equal(b.GetIncarnation(), x.GetIncarnation()) {
 			return refused(wire.Code_CODE_UNKNOWN, "", "not in the roster")
 		}
-		// A leaving balancer still forwards and follows. Dropped at once, it would be
-		// told that it is unknown and join again.
+		// A leaving balancer forwards until its connections have ended, and stays in
+		// the roster so that it gets updates.
 		if x.GetGone() {
 			s.dropBalancer(x.GetId())
 		}
