agent: renewed certificates; GOAWAY without a panic of the server

Cause: http3.Server closes a channel when its last connection ends after Shutdown; a connection that it counts only afterwards closes it again, which panics. A GOAWAY now waits until the server has counted all connections. An agent outlives certificates, so the files are read again after a change. A handle that follows one that was leaving no longer keeps its HTTP/1.1 connections from staying open, and a relay whose handle has ended opens no flows. Tests with port 0 failed when the port was taken for UDP; the agent looks for another one then.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -11,7 +11,6 @@
 package agent
 
 import (
-	"crypto/tls"
 	"net"
 	"net/http"
 	"net/netip"
@@ -31,8 +30,12 @@
 	"mangokeel/pkg/settings"
 )
 
-// expirePeriod is the time between two looks at a part of the flow table.
-const expirePeriod = 250 * time.Millisecond
+const (
+	// expirePeriod is the time between two looks at a part of the flow table.
+	expirePeriod = 250 * time.Millisecond
+	// portTries bounds the search for a port that is free for TCP and UDP.
+	portTries = 10
+)
 
 // Target runs requests at the target. Package target implements it.
 type Target interface {
@@ -55,7 +58,7 @@
 	log    log.Logger
 	timers mangokeel.Timers
 	// cert is nil when no files are set; there is no QUIC endpoint then.
-	cert *tls.Certificate
+	cert *certificate
 
 	udp      *net.UDPConn
 	streams  *streams
@@ -124,20 +127,15 @@
 // open loads the certificate and opens the data socket and the listener.
 func (a *Agent) open() error {
 	if a.cfg.Cert != "" {
-		c, err := tls.LoadX509KeyPair(a.cfg.Cert, a.cfg.Key)
+		c, err := newCertificate(a.cfg.Cert, a.cfg.Key)
 		if err != nil {
-			return errors.Wrap(err, "load certificate")
+			return err
 		}
-		a.cert = &c
+		a.cert = c
 	}
-	l, err := net.ListenTCP("tcp", net.TCPAddrFromAddrPort(a.cfg.Address))
+	l, err := a.listen()
 	if err != nil {
-		return errors.Wrap(err, "listen for streams")
-	}
-	a.udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(a.Address(l)))
-	if err != nil {
-		l.Close()
-		return errors.Wrap(err, "open data socket")
+		return err
 	}
 	// The kernel may allow less; the agent works with what it gets.
 	_ = a.udp.SetReadBuffer(socketBuffer)
@@ -147,10 +145,25 @@
 	return nil
 }
 
-// Address returns the address of l, whose port is set when the settings have 0.
-func (a *Agent) Address(l net.Listener) netip.AddrPort {
-	p := l.Addr().(*net.TCPAddr).AddrPort()
-	return netip.AddrPortFrom(a.cfg.Address.Addr(), p.Port())
+// listen opens the TCP listener and the data socket on one port. Port 0 in the
+// settings means any port that is free for both.
+func (a *Agent) listen() (l *net.TCPListener, err error) {
+	for range portTries {
+		l, err = net.ListenTCP("tcp", net.TCPAddrFromAddrPort(a.cfg.Address))
+		if err != nil {
+			return nil, errors.Wrap(err, "listen for streams")
+		}
+		port := l.Addr().(*net.TCPAddr).AddrPort().Port()
+		a.udp, err = net.ListenUDP("udp", net.UDPAddrFromAddrPort(netip.AddrPortFrom(a.cfg.Address.Addr(), port)))
+		if err == nil {
+			return l, nil
+		}
+		l.Close()
+		if a.cfg.Address.Port() != 0 {
+			break
+		}
+	}
+	return nil, errors.Wrap(err, "open data socket")
 }
 
 func (a *Agent) join() *wire.JoinRequest {
@@ -205,6 +218,8 @@
 		if reg = a.register(s); reg == nil {
 			return
 		}
+		// The handle before this one may have been leaving.
+		a.streams.leave(false)
 		if reg.relay == nil {
 			a.probe.check()
 		}
@@ -276,7 +291,7 @@
 		reg.endpoint.abandon(reason)
 	}
 	if reg.relay != nil {
-		reg.relay.close()
+		reg.relay.abandon()
 	}
 }
 
--- a/internal/agent/endpoint.go
+++ b/internal/agent/endpoint.go
@@ -69,6 +69,8 @@
 // connection is one caller's QUIC connection.
 type connection struct {
 	running atomic.Int32
+	// entered is set once the server has counted the connection.
+	entered bool
 	// told is the time of the GOAWAY, or zero.
 	told time.Time
 }
@@ -81,7 +83,7 @@
 		service: reg.service,
 		handle:  reg.handle,
 		handler: a.counted(a.target),
-		tls:     http3.ConfigureTLSConfig(&tls.Config{Certificates: []tls.Certificate{*a.cert}, MinVersion: tls.VersionTLS13}),
+		tls:     http3.ConfigureTLSConfig(&tls.Config{GetCertificate: a.cert.get, MinVersion: tls.VersionTLS13}),
 		conns:   map[*quic.Conn]*connection{},
 	}
 	e.resetKey = sha256.Sum256(append([]byte("reset"), svc.GetReset_()...))
@@ -133,7 +135,9 @@
 		ConnContext: func(ctx context.Context, c *quic.Conn) context.Context {
 			e.mu.Lock()
 			defer e.mu.Unlock()
-			return context.WithValue(ctx, connectionKey{}, e.conns[c])
+			x := e.conns[c]
+			x.entered = true
+			return context.WithValue(ctx, connectionKey{}, x)
 		},
 	}
 }
@@ -185,28 +189,47 @@
 // included, and closes connections without requests whose callers did not go.
 func (e *endpoint) reap(now time.Time) {
 	var idle []*quic.Conn
-	untold := false
 	e.mu.Lock()
+	if e.leaving {
+		e.tell(now)
+	}
 	for q, c := range e.conns {
-		switch {
-		case e.leaving && c.told.IsZero():
-			c.told = now
-			untold = true
-		case !c.told.IsZero() && now.Sub(c.told) > goawayGrace && c.running.Load() == 0:
+		if !c.told.IsZero() && now.Sub(c.told) > goawayGrace && c.running.Load() == 0 {
 			idle = append(idle, q)
 		}
 	}
-	if untold {
-		old := e.server
-		e.server = e.newServer()
-		go func() { _ = old.Shutdown(e.ctx) }()
-	}
 	e.mu.Unlock()
 	for _, q := range idle {
 		_ = q.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
 	}
 }
 
+// tell sends a GOAWAY to all callers that have none yet. The server's Shutdown does
+// so; another server takes its place. A connection that the server has not yet
+// counted would end its count twice, which panics, so tell waits for it. The
+// caller holds mu.
+func (e *endpoint) tell(now time.Time) {
+	var untold []*connection
+	for _, c := range e.conns {
+		switch {
+		case !c.told.IsZero():
+		case !c.entered:
+			return
+		default:
+			untold = append(untold, c)
+		}
+	}
+	if len(untold) == 0 {
+		return
+	}
+	for _, c := range untold {
+		c.told = now
+	}
+	old := e.server
+	e.server = e.newServer()
+	go func() { _ = old.Shutdown(e.ctx) }()
+}
+
 // abandon closes all connections.
 func (e *endpoint) abandon(reason string) {
 	e.mu.Lock()
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -28,6 +28,8 @@
 	mu sync.Mutex
 	// socks has a socket for each flow of the table, opened by its first packet.
 	socks map[netip.AddrPort]*net.UDPConn
+	// closed refuses new flows after the handle's end.
+	closed bool
 }
 
 func newRelay(target netip.AddrPort, reg *registration, r *replies, c *counters) *relay {
@@ -51,6 +53,9 @@
 	if c := r.socks[caller]; c != nil {
 		return c, nil
 	}
+	if r.closed {
+		return nil, net.ErrClosed
+	}
 	c, err := net.DialUDP("udp", nil, net.UDPAddrFromAddrPort(r.target))
 	if err != nil {
 		return nil, errors.Wrap(err, "open flow to target")
@@ -115,8 +120,16 @@
 	}
 }
 
-// close ends all flows.
+// close ends all flows and the relay.
 func (r *relay) close() {
+	r.mu.Lock()
+	r.closed = true
+	r.mu.Unlock()
+	r.abandon()
+}
+
+// abandon ends all flows.
+func (r *relay) abandon() {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	for k, c := range r.socks {
