process, agent: status server until the agent has left

Cause: the group interrupts all parts at once, so that metrics and dump of an agent were gone for the whole of its departure, which may take hours. The status server now waits for the agent. The dump has lower-case names and one map of events.

--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -19,12 +19,18 @@
 	if err != nil {
 		return err
 	}
-	a, err := agent.New(cfg, jsonrpc.NewClient(), h, agent.WithLog(p.Log))
+	remote := jsonrpc.NewClient()
+	a, err := agent.New(cfg, remote, h, agent.WithLog(p.Log))
 	if err != nil {
 		return err
 	}
+	left := make(chan struct{})
 	p.Registry.MustRegister(agent.NewCollector(a))
 	p.SetDump(func() any { return a.Status() })
-	p.Group.Add(a.Run, func(error) { a.Stop() })
-	return p.ServeStatus(cfg.Status)
+	p.Group.Add(func() error {
+		defer remote.Close()
+		defer close(left)
+		return a.Run()
+	}, func(error) { a.Stop() })
+	return p.ServeStatus(cfg.Status, left)
 }
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -54,21 +54,26 @@
 
 // Status is the state of an agent for the dump.
 type Status struct {
-	Handle   mangokeel.Handle
-	Service  mangokeel.ServiceID
-	Revision mangokeel.Revision
-	Epoch    mangokeel.Epoch
-	Control  netip.AddrPort
-	Leaving  bool
+	Handle   mangokeel.Handle    `json:"handle"`
+	Service  mangokeel.ServiceID `json:"service"`
+	Revision mangokeel.Revision  `json:"revision"`
+	Epoch    mangokeel.Epoch     `json:"epoch"`
+	Control  netip.AddrPort      `json:"control"`
+	Leaving  bool                `json:"leaving"`
 	// Flows counts open flows, Table the entries found by address, Floors the
 	// floors above Epoch.
-	Flows, Table, Floors int
-	Running              int64
-	Weight               uint32
-	Balancers            []netip.AddrPort
-	Actions              map[string]uint64
-	Drops                map[string]uint64
-	Counters             flow.Counters
+	Flows   int   `json:"flows"`
+	Table   int   `json:"table"`
+	Floors  int   `json:"floors"`
+	Running int64 `json:"running"`
+	// Weight is the one reported to control, 0 to 256.
+	Weight    uint32            `json:"weight"`
+	Balancers []netip.AddrPort  `json:"balancers"`
+	Actions   map[string]uint64 `json:"actions"`
+	Drops     map[string]uint64 `json:"drops"`
+	Events    map[string]uint64 `json:"events"`
+	// Counters are those of the flow tables of all handles so far.
+	Counters flow.Counters `json:"-"`
 }
 
 // Status returns the present state.
@@ -99,6 +104,7 @@
 	for i, n := range s.Counters.Drops {
 		s.Drops[flow.Reason(i).String()] = n
 	}
+	s.Events = a.events(s.Counters)
 	return s
 }
 
@@ -145,7 +151,7 @@
 			count(c.drops, v, k)
 		}
 	}
-	for k, v := range c.a.events(s) {
+	for k, v := range s.Events {
 		count(c.events, v, k)
 	}
 	gauge(c.flows, float64(s.Flows), "open")
@@ -156,7 +162,7 @@
 }
 
 // events returns the counts of all other events.
-func (a *Agent) events(s Status) map[string]uint64 {
+func (a *Agent) events(c flow.Counters) map[string]uint64 {
 	polls, moves := a.follower.Counts()
 	return map[string]uint64{
 		"packet":        a.counters.packets.Load(),
@@ -173,13 +179,13 @@
 		"reply-lost":    a.replies.lost.Load(),
 		"poll":          polls,
 		"move":          moves,
-		"expired":       s.Counters.Expired,
-		"abandoned":     s.Counters.Abandoned,
-		"settled":       s.Counters.Settled,
-		"mismatched":    s.Counters.Mismatched,
-		"upgraded":      s.Counters.Upgraded,
-		"fenced":        s.Counters.Fenced,
-		"released":      s.Counters.Released,
-		"violation":     s.Counters.Violations,
+		"expired":       c.Expired,
+		"abandoned":     c.Abandoned,
+		"settled":       c.Settled,
+		"mismatched":    c.Mismatched,
+		"upgraded":      c.Upgraded,
+		"fenced":        c.Fenced,
+		"released":      c.Released,
+		"violation":     c.Violations,
 	}
 }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -158,8 +158,10 @@
 }
 
 // ServeStatus adds a server to the group that answers /metrics, /dump and
-// /healthz on addr. It does nothing when addr is the zero value.
-func (p *Process) ServeStatus(addr netip.AddrPort) error {
+// /healthz on addr. It does nothing when addr is the zero value. The server ends
+// only when all channels of until are closed, so that a process that takes long to
+// leave can be watched. ServeStatus must be the last addition to the group then.
+func (p *Process) ServeStatus(addr netip.AddrPort, until ...<-chan struct{}) error {
 	if !addr.IsValid() {
 		return nil
 	}
@@ -179,6 +181,11 @@
 	})
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
 	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
-	p.Group.Add(func() error { return srv.Serve(l) }, func(error) { srv.Close() })
+	p.Group.Add(func() error { return srv.Serve(l) }, func(error) {
+		for _, c := range until {
+			<-c
+		}
+		srv.Close()
+	})
 	return nil
 }
