standin: report when a group of callers got no answers

Cause: the longest time without an answer was 1.4 s in a soak and its moment was not known. A run with the moment shows it 1 s after the end of the load, where only the last requests of a few callers are left.

--- a/standin/verdict.go
+++ b/standin/verdict.go
@@ -103,7 +103,9 @@
 	s.Unknown += r.Unknown
 	s.Unanswered += r.Unanswered
 	s.Wrong += r.Wrong
-	s.Slowest = max(s.Slowest, r.Slowest)
+	if r.Silence > s.Silence {
+		s.Silence, s.SilenceAt = r.Silence, r.SilenceAt
+	}
 	for k, n := range r.Reasons {
 		s.Reasons[k] += n
 	}
