--- a/Makefile
+++ b/Makefile
@@ -1,11 +1,12 @@
-# Targets: build, test (what CI runs), fmt, lint, generate, demo, soak, bench, clean.
+# Targets: build, test (what CI runs), fmt, lint, generate, demo, soak, measure, bench,
+# clean.
 
 GO ?= go
 BIN := bin
 SEED ?= 1
 DURATION ?= 60
 
-.PHONY: all build test check fmt lint unit generate demo soak bench clean
+.PHONY: all build test check fmt lint unit generate demo soak measure bench clean
 
 all: build
 
@@ -40,6 +41,10 @@
 soak: build
 	bash standin/soak.sh $(BIN) $(DURATION) $(SEED)
 
+# measure prints what control costs each kind of node.
+measure: build
+	bash standin/measure.sh $(BIN)
+
 bench:
 	$(GO) test -run '^$$' -bench . -benchmem ./...
 
