replica: tests of votes, commits, cut logs, stored data and the record decoder

Change: tests that drive one instance to each of these points, damage every byte of a folder and remove each file, a fuzz test of the decoder; disk.Folder locks the folder, so that two processes cannot write to it; Close releases it.

--- a/internal/disk/disk.go
+++ b/internal/disk/disk.go
@@ -13,6 +13,7 @@
 	"os"
 	"path/filepath"
 	"strings"
+	"syscall"
 
 	"github.com/cockroachdb/errors"
 
@@ -27,36 +28,62 @@
 	fileMode   = 0o600
 )
 
+// ErrInUse means that another process has the folder open.
+var ErrInUse = errors.New("data folder is in use")
+
 // Folder is a data folder on the machine's file system.
-type Folder struct{ path string }
+type Folder struct {
+	path string
+	// lock is the open folder with an exclusive lock, so that two processes cannot
+	// write to it.
+	lock *os.File
+}
 
 var _ mangokeel.Disk = (*Folder)(nil)
 
-// Open returns the folder at path, which is created when it does not exist.
-// Files that an interrupted Replace left behind are removed.
+// Open returns the folder at path, which is created when it does not exist, and
+// locks it until Close. Files that an interrupted Replace left behind are removed.
 func Open(path string) (*Folder, error) {
 	if err := os.MkdirAll(path, folderMode); err != nil {
 		return nil, errors.Wrap(err, "create data folder")
 	}
-	d := &Folder{path: path}
 	if err := syncFolder(filepath.Dir(filepath.Clean(path))); err != nil {
 		return nil, err
 	}
-	list, err := os.ReadDir(path)
+	f, err := os.Open(path)
 	if err != nil {
-		return nil, errors.Wrap(err, "read data folder")
+		return nil, errors.Wrap(err, "open data folder")
+	}
+	d := &Folder{path: path, lock: f}
+	if err := d.prepare(); err != nil {
+		f.Close()
+		return nil, err
+	}
+	return d, nil
+}
+
+func (d *Folder) prepare() error {
+	if err := syscall.Flock(int(d.lock.Fd()), syscall.LOCK_EX|syscall.LOCK_NB); err != nil {
+		return errors.Wrapf(ErrInUse, "%s: %v", d.path, err)
+	}
+	list, err := os.ReadDir(d.path)
+	if err != nil {
+		return errors.Wrap(err, "read data folder")
 	}
 	for _, e := range list {
 		if !strings.HasSuffix(e.Name(), temporary) {
 			continue
 		}
 		if err := os.Remove(d.join(e.Name())); err != nil {
-			return nil, errors.Wrap(err, "remove interrupted file")
+			return errors.Wrap(err, "remove interrupted file")
 		}
 	}
-	return d, nil
+	return nil
 }
 
+// Close releases the folder.
+func (d *Folder) Close() error { return errors.Wrap(d.lock.Close(), "close data folder") }
+
 func (d *Folder) join(name string) string { return filepath.Join(d.path, name) }
 
 // Open implements mangokeel.Disk. A created file lasts once Open returned.
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -114,7 +114,7 @@
 
 // New opens the data folder and starts the instance. The error is marked
 // ErrCorrupt when the folder's content cannot be trusted; the instance must then
-// be replaced.
+// be replaced. Close also closes the disk if it is an io.Closer.
 func New(cfg Config, m mangokeel.Machine, d mangokeel.Disk, r mangokeel.Remote, t mangokeel.Timers, opts ...Option) (*Node, error) {
 	n := &Node{
 		remote:   r,
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -548,7 +548,15 @@
 		names, _ := h.disk.List()
 		name := names[s.r.IntN(len(names))]
 		b, _ := h.disk.Read(name)
-		h.disk.Flip(name, s.r.IntN(len(b)+1))
+		at := s.r.IntN(len(b) + 1)
+		if l := s.leader(); l != nil && l != h && s.r.IntN(2) == 0 {
+			// The last synced record, while the leader that counted on it stops.
+			name = segmentName(h.e.storage.meta.GetSegment())
+			b, _ = h.disk.Read(name)
+			at = len(b) - 1
+			l.steps, l.power = 1, true
+		}
+		h.disk.Flip(name, at)
 		h.down(true)
 	case 2:
 		h.failing = true
--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"io"
 	"io/fs"
 	"slices"
 	"strings"
@@ -467,4 +468,11 @@
 	return s.drop(n)
 }
 
-func (s *storage) close() error { return s.file.Close() }
+// close closes the open segment, and the disk if it can be closed.
+func (s *storage) close() error {
+	err := s.file.Close()
+	if c, ok := s.disk.(io.Closer); ok {
+		err = errors.CombineErrors(err, c.Close())
+	}
+	return err
+}
--- /dev/null
+++ b/internal/replica/storage_test.go
@@ -0,0 +1,162 @@
+package replica
+
+import (
+	"bytes"
+	"fmt"
+	"testing"
+
+	"github.com/cockroachdb/errors"
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"mangokeel"
+	"mangokeel/internal/disk"
+	"mangokeel/internal/wire"
+)
+
+func newID() string { return "new" }
+
+// folder returns a disk with a snapshot at 4 and entries 1 to last over several
+// segments.
+func folder(t testing.TB, last uint64) *disk.Fake {
+	d := &disk.Fake{}
+	s, _, err := load(d, 60, func() string { return "old" })
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, s.writeMeta(&wire.Meta{Id: "old", Cluster: "x", Term: 3, Starts: 1}), qt.IsNil)
+	for i := uint64(1); i <= last; i++ {
+		body := &wire.Entry_Command{Command: fmt.Appendf(nil, "command %d", i)}
+		qt.Assert(t, s.append(i-1, min(i-1, 1)*2, []*wire.Entry{{Index: i, Term: 2, Body: body}}), qt.IsNil)
+	}
+	qt.Assert(t, s.save(&wire.Snapshot{Index: 4, Term: 2, State: []byte("state")}), qt.IsNil)
+	return d
+}
+
+// Guards against damaged data that is taken for empty or for whole: whichever bit
+// of whichever file is wrong, a start finds everything, or misses only the end and
+// records that, or fails with ErrCorrupt.
+func TestFlippedBits(t *testing.T) {
+	const last = 8
+	names, _ := folder(t, last).List()
+	qt.Assert(t, len(names) > 5, qt.IsTrue)
+	found := map[string]int{}
+	for _, name := range names {
+		content, _ := folder(t, last).Read(name)
+		for i := range content {
+			d := folder(t, last)
+			d.Flip(name, i)
+			s, st, err := load(d, 60, newID)
+			switch {
+			case err != nil:
+				qt.Assert(t, errors.Is(err, mangokeel.ErrCorrupt), qt.IsTrue, qt.Commentf("%s %d: %v", name, i, err))
+				found["corrupt"]++
+				continue
+			case st.entries.last() < last:
+				qt.Assert(t, s.meta.GetCut(), qt.IsTrue, qt.Commentf("%s %d", name, i))
+				qt.Assert(t, st.entries.last(), qt.Equals, uint64(last-1))
+				found["cut"]++
+			default:
+				found["whole"]++
+			}
+			qt.Assert(t, s.meta.GetId(), qt.Equals, "old")
+			qt.Assert(t, st.snapshot.GetState(), qt.DeepEquals, []byte("state"))
+		}
+	}
+	t.Logf("outcomes: %v", found)
+	qt.Assert(t, len(found), qt.Equals, 3)
+}
+
+// Guards against a missing file that is taken for an empty one.
+func TestMissingFiles(t *testing.T) {
+	names, _ := folder(t, 8).List()
+	for _, name := range names {
+		d := folder(t, 8)
+		qt.Assert(t, d.Remove(name), qt.IsNil)
+		_, st, err := load(d, 60, newID)
+		switch {
+		case name == metaA || name == metaB:
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, st.meta.GetId(), qt.Equals, "old")
+		case name == snapshotName(4):
+			qt.Assert(t, err, qt.IsNil) // the log still starts at 1
+			qt.Assert(t, st.entries.last(), qt.Equals, uint64(8))
+		case name == segmentName(1):
+			// Segments before the snapshot may be gone.
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, st.entries.last(), qt.Equals, uint64(8))
+		default:
+			qt.Assert(t, errors.Is(err, mangokeel.ErrCorrupt), qt.IsTrue, qt.Commentf("%s: %v", name, err))
+		}
+	}
+	d := folder(t, 8)
+	qt.Assert(t, d.Remove(metaA), qt.IsNil)
+	qt.Assert(t, d.Remove(metaB), qt.IsNil)
+	_, _, err := load(d, 60, newID)
+	qt.Assert(t, errors.Is(err, mangokeel.ErrCorrupt), qt.IsTrue)
+}
+
+// Guards against a log that is empty beside a meta file that says it has entries,
+// and against an instance that stays initialised without its first entry.
+func TestInterruptedCreation(t *testing.T) {
+	for _, term := range []uint64{1, 2} {
+		d := &disk.Fake{}
+		s, _, err := load(d, 60, func() string { return "old" })
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, s.writeMeta(&wire.Meta{Id: "old", Cluster: "old", Term: term, Created: 1, Starts: 1}), qt.IsNil)
+		_, st, err := load(d, 60, newID)
+		if term == 1 {
+			qt.Assert(t, err, qt.IsNil)
+			qt.Assert(t, st.meta.GetCluster(), qt.Equals, "")
+			continue
+		}
+		qt.Assert(t, errors.Is(err, mangokeel.ErrCorrupt), qt.IsTrue)
+	}
+}
+
+// Guards against entries of a replaced suffix that come back, also after the
+// snapshot of another instance replaced the log.
+func TestReplacedSuffix(t *testing.T) {
+	d := folder(t, 8)
+	s, _, err := load(d, 60, newID)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, s.append(5, 2, []*wire.Entry{{Index: 6, Term: 3}}), qt.IsNil)
+	s, st, err := load(d, 60, newID)
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, st.entries.last(), qt.Equals, uint64(6))
+	qt.Assert(t, st.entries.lastTerm(), qt.Equals, uint64(3))
+	qt.Assert(t, s.save(&wire.Snapshot{Index: 20, Term: 3}), qt.IsNil)
+	_, st, err = load(d, 60, newID) // stopped before the log was dropped
+	qt.Assert(t, err, qt.IsNil)
+	qt.Assert(t, st.entries.base, qt.Equals, uint64(20))
+	qt.Assert(t, st.entries.last(), qt.Equals, uint64(20))
+}
+
+// Guards against a decoder that panics, reads beyond its input, accepts a changed
+// record, or misses a record behind a bad one.
+func FuzzDecode(f *testing.F) {
+	f.Add([]byte("mkr1"), []byte("command"), uint(3), false)
+	f.Add([]byte{}, []byte{}, uint(40), true)
+	f.Fuzz(func(t *testing.T, noise, command []byte, at uint, short bool) {
+		var any wire.Batch
+		if n, err := decode(noise, &any); err == nil && (n < headerSize || n > len(noise)) {
+			t.Fatalf("size %d of %d bytes", n, len(noise))
+		}
+		followed(noise)
+		in := &wire.Batch{Index: 1, Entries: []*wire.Entry{{Index: 2, Term: 1, Body: &wire.Entry_Command{Command: command}}}}
+		b, err := encode(in)
+		qt.Assert(t, err, qt.IsNil)
+		var out wire.Batch
+		n, err := decode(append(bytes.Clone(b), noise...), &out)
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, n, qt.Equals, len(b))
+		qt.Assert(t, proto.Equal(in, &out), qt.IsTrue)
+		bad := bytes.Clone(b)
+		if i := at % uint(len(b)); short {
+			bad = bad[:i]
+		} else {
+			bad[i] ^= 1 << (at % 8)
+		}
+		_, err = decode(bad, &out)
+		qt.Assert(t, errors.Is(err, errRecord), qt.IsTrue)
+		qt.Assert(t, followed(append(append(bad, noise...), b...)), qt.IsTrue)
+	})
+}
