--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -201,3 +201,40 @@
 	c.Assert(d.Service(1).GetHome().GetNow(), qt.DeepEquals, []uint32{3, 4, 5})
 	c.Assert(d.Service(1).GetHome().GetNext(), qt.HasLen, 0)
 }
+
+// Guards against a stopping balancer that is told that it is unknown, joins again,
+// and forwards with a view that no longer changes.
+func TestLeavingBalancerStays(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver()
+	id := d.apply(&wire.Command{Body: &wire.Command_Join{Join: &wire.JoinRequest{
+		Role: wire.Role_ROLE_BALANCER, Incarnation: []byte("one"), Zone: "ebene", Data: "127.0.0.1:7100",
+	}}}).GetJoin().GetId()
+	leave := func(gone bool) {
+		d.apply(&wire.Command{Body: &wire.Command_Leave{Leave: &wire.LeaveRequest{
+			Role: wire.Role_ROLE_BALANCER, Id: id, Incarnation: []byte("one"), Gone: gone,
+		}}})
+	}
+	balancers := func() int {
+		var v view.View
+		v.Apply(d.Update(0, wire.Role_ROLE_BALANCER, 0))
+		return len(v.State().Balancers())
+	}
+	leave(false)
+	c.Assert(balancers(), qt.Equals, 1)
+	leave(true)
+	c.Assert(balancers(), qt.Equals, 0)
+}
+
+// Guards against a change of the number of buckets, after which nodes would look
+// for flows in other buckets than those they were created in.
+func TestBucketsAreFixed(t *testing.T) {
+	c := qt.New(t)
+	d := newDriver()
+	doc := "address: 127.0.0.1:80\nprotocol: http\nzones: [ebene]\nbuckets: "
+	c.Assert(d.force("sieste", dispatch, doc+"300").GetCode(), qt.Equals, wire.Code_CODE_INVALID)
+	c.Assert(d.force("sieste", dispatch, doc+"2048").GetCode(), qt.Equals, wire.Code_CODE_ACCEPTED)
+	o := d.force("sieste", dispatch, doc+"4096")
+	c.Assert(o.GetCode(), qt.Equals, wire.Code_CODE_INVALID)
+	c.Assert(o.GetReason(), qt.Equals, "buckets: the service has 2048 for life")
+}
