--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -158,7 +158,7 @@
 	current := m.GetLastTerm() > c.log.lastTerm() ||
 		m.GetLastTerm() == c.log.lastTerm() && m.GetLastIndex() >= c.log.last()
 	if m.GetPhase() == wire.Phase_PHASE_PRE {
-		return current && m.GetTerm() > c.term()
+		return current && m.GetTerm() > c.term() && !c.precedes(m)
 	}
 	if m.GetTerm() > c.term() {
 		c.follow(m.GetTerm(), "")
@@ -173,6 +173,13 @@
 	return true
 }
 
+// precedes reports whether this instance stands for election at the same moment
+// with an equal log and the lower id. If two went on, each with its own vote, both
+// would lose an election timeout.
+func (c *core) precedes(m *wire.VoteRequest) bool {
+	return c.role == preCandidate && m.GetLastIndex() == c.log.last() && c.id() < m.GetFrom()
+}
+
 func (c *core) handleVoteReply(m *wire.VoteReply) {
 	if m.GetPhase() == wire.Phase_PHASE_IDENTIFY {
 		c.handleIdentity(m)
--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -25,6 +25,12 @@
 	applied uint64
 	// bytes counts the commands applied since the last snapshot.
 	bytes int
+	// background runs work, which may take long, beside the engine and then done
+	// as one of its events.
+	background func(work func() error, done func(error))
+	// saving is set while a snapshot is being written.
+	saving bool
+	failed error
 }
 
 // open loads the data folder and restores the machine.
@@ -57,7 +63,10 @@
 			return err
 		}
 	}
-	return e.apply(e.core.commit)
+	if err := e.apply(e.core.commit); err != nil {
+		return err
+	}
+	return e.failed
 }
 
 func (e *engine) execute(r ready) error {
@@ -118,10 +127,12 @@
 	return e.snapshot()
 }
 
-// snapshot stores the machine's state once enough was applied since the last one.
+// snapshot starts to store the machine's state once enough was applied since the
+// last one. Only the writing is left to the background, since the machine must not
+// change meanwhile.
 func (e *engine) snapshot() error {
 	last := e.core.state.GetIndex()
-	if e.applied-last < e.opts.snapshotEntries && e.bytes < e.opts.snapshotBytes {
+	if e.saving || e.applied-last < e.opts.snapshotEntries && e.bytes < e.opts.snapshotBytes {
 		return nil
 	}
 	b, err := e.machine.Snapshot()
@@ -130,12 +141,28 @@
 	}
 	term, _ := e.core.log.term(e.applied)
 	s := &wire.Snapshot{Index: e.applied, Term: term, Membership: e.core.membershipAt(e.applied), State: b}
-	if err := e.storage.save(s); err != nil {
-		return errors.Wrap(err, "save a snapshot")
+	e.saving, e.bytes = true, 0
+	e.background(func() error { return e.storage.store(s) }, func(err error) {
+		e.saving = false
+		e.failed = errors.Wrap(errors.CombineErrors(err, e.saved(s, err)), "save a snapshot")
+	})
+	return nil
+}
+
+// saved drops what a durable snapshot makes superfluous. A snapshot of the leader
+// may have been installed in the meantime.
+func (e *engine) saved(s *wire.Snapshot, err error) error {
+	switch {
+	case err != nil:
+		return nil
+	case s.GetIndex() <= e.core.state.GetIndex():
+		return e.storage.discard(s)
 	}
 	e.core.compacted(s, e.opts.keepEntries)
-	e.bytes = 0
-	return errors.Wrap(e.storage.compact(e.core.log.base), "drop segments")
+	if err := e.storage.adopt(s); err != nil {
+		return err
+	}
+	return e.storage.compact(e.core.log.base)
 }
 
 // status returns what the instance knows. The age is computed from confirmed by
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -38,7 +38,8 @@
 )
 
 const (
-	tickInterval = heartbeatInterval / 2
+	// tickInterval is short so that candidates rarely stand at the same tick.
+	tickInterval = heartbeatInterval / 5
 	callTimeout  = time.Second
 	// callLimit bounds the calls under way to one member. With a heartbeat each
 	// 100 ms and a timeout of 1 s, a silent member holds about 10.
@@ -75,6 +76,8 @@
 	calls     map[uint64]chan message
 	lastCall  uint64
 	underWay  map[netip.AddrPort]*atomic.Int32
+	// work has the writers of snapshots.
+	work sync.WaitGroup
 
 	mu sync.Mutex
 	// seen is the state after the last event.
@@ -126,7 +129,7 @@
 		calls:    map[uint64]chan message{},
 		underWay: map[netip.AddrPort]*atomic.Int32{},
 	}
-	n.engine = &engine{machine: m, clock: t, send: n.send, done: n.resolve, opts: n.opts}
+	n.engine = &engine{machine: m, clock: t, send: n.send, done: n.resolve, background: n.background, opts: n.opts}
 	if err := n.engine.open(d, cfg); err != nil {
 		return nil, err
 	}
@@ -280,6 +283,7 @@
 		w.out <- outcome{err: ErrClosed}
 	}
 	n.abandon(ErrClosed)
+	n.work.Wait()
 	if err := n.engine.storage.close(); err != nil {
 		_ = level.Warn(n.opts.logger).Log("msg", "closing the log failed", "err", err)
 	}
@@ -301,6 +305,13 @@
 	return n.err
 }
 
+func (n *Node) background(work func() error, done func(error)) {
+	n.work.Go(func() {
+		err := work()
+		_ = n.post(n.ctx, func(time.Time) { done(err) })
+	})
+}
+
 func (n *Node) post(ctx context.Context, fn func(now time.Time)) error {
 	select {
 	case n.events <- fn:
@@ -344,7 +355,11 @@
 	n.mu.Lock()
 	v := n.seen
 	n.mu.Unlock()
-	v.status.Age = age(n.timers.Now(), v.now, v.confirmed)
+	now := n.timers.Now()
+	v.status.Age = age(now, v.now, v.confirmed)
+	// The loop publishes with each tick. When it was held up for so long, by a
+	// freeze or a slow disk, the others have elected another leader.
+	v.status.Leading = v.status.Leading && now.Sub(v.now) < maxElection
 	return v.status
 }
 
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -29,6 +29,9 @@
 	faultTime   = 10 * time.Second
 	healTime    = 15 * time.Second
 	proposeTime = 30 * time.Millisecond
+	// simTick is longer than tickInterval, to save events and to provoke
+	// candidates that stand at the same time.
+	simTick = 50 * time.Millisecond
 )
 
 // errStop is the panic value that stops a host at a hook.
@@ -161,7 +164,7 @@
 			h.cfg.Members = members
 		}
 		h.boot()
-		s.t.Every(tickInterval, func(time.Time) { h.do(func() { h.e.core.tick(h.Now()) }) })
+		s.t.Every(simTick, func(time.Time) { h.do(func() { h.e.core.tick(h.Now()) }) })
 	}
 	s.t.Every(proposeTime, func(time.Time) { s.command(s.any()) })
 	s.t.Every(500*time.Millisecond, func(time.Time) { s.operate() })
@@ -200,7 +203,7 @@
 	}
 	o := optionsOf([]Option{WithSeed(seed), WithSnapshots(40, 1<<20, 10)})
 	o.segmentBytes, o.batchBytes, o.snapshotPart = 1000, 1+200*h.s.r.IntN(2), 7
-	e := &engine{machine: h.machine, clock: h, send: h.send, done: h.done, opts: o}
+	e := &engine{machine: h.machine, clock: h, send: h.send, done: h.done, background: h.background, opts: o}
 	var err error
 	stopped := h.guard(func() { err = e.open(h.disk, h.cfg) })
 	switch {
@@ -219,6 +222,16 @@
 	}
 }
 
+// background does the work at once and reports it later.
+func (h *host) background(work func() error, done func(error)) {
+	err, life := work(), h.life
+	h.s.t.After(time.Duration(h.s.r.IntN(300))*time.Millisecond, func(time.Time) {
+		if h.life == life {
+			h.do(func() { done(err) })
+		}
+	})
+}
+
 // guard runs fn and reports whether the host stopped at a hook.
 func (h *host) guard(fn func()) (stopped bool) {
 	defer func() {
@@ -697,3 +710,24 @@
 	qt.Assert(t, a.trace, qt.Equals, b.trace)
 	qt.Assert(t, a.stats, qt.Equals, b.stats)
 }
+
+// Guards against a freeze of the leader that stops changes for more than 3 s.
+func TestFreeze(t *testing.T) {
+	var longest time.Duration
+	for seed := range uint64(100) {
+		s := newSim(seed)
+		s.healing = true
+		s.t.Advance(3 * time.Second)
+		h := s.leader()
+		qt.Assert(t, h, qt.Not(qt.IsNil))
+		at := s.t.Now()
+		s.freeze(h, 5*time.Second)
+		for s.leader() == nil && s.t.Now().Sub(at) < 4*time.Second {
+			s.t.Advance(10 * time.Millisecond)
+		}
+		longest = max(longest, s.t.Now().Sub(at))
+		s.t.Advance(6 * time.Second)
+	}
+	t.Logf("longest time without a leader: %v", longest)
+	qt.Assert(t, longest < 3*time.Second, qt.IsTrue)
+}
--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -3,7 +3,6 @@
 import (
 	"fmt"
 	"io"
-	"io/fs"
 	"slices"
 	"strings"
 
@@ -440,23 +439,37 @@
 
 // save makes a snapshot durable and removes the one before it.
 func (s *storage) save(x *wire.Snapshot) error {
+	if err := s.store(x); err != nil {
+		return err
+	}
+	return s.adopt(x)
+}
+
+// store makes a snapshot durable. It may run beside the other methods.
+func (s *storage) store(x *wire.Snapshot) error {
 	b, err := encode(x)
 	if err != nil {
 		return err
 	}
+	return s.disk.Replace(snapshotName(x.GetIndex()), b)
+}
+
+// adopt makes a stored snapshot the present one.
+func (s *storage) adopt(x *wire.Snapshot) error {
 	name, old := snapshotName(x.GetIndex()), s.snapshot
-	if err := s.disk.Replace(name, b); err != nil {
-		return err
-	}
 	s.snapshot = name
 	if old == "" || old == name {
 		return nil
 	}
-	err = s.disk.Remove(old)
-	if errors.Is(err, fs.ErrNotExist) {
-		return nil
+	return s.disk.Remove(old)
+}
+
+// discard removes a stored snapshot that another one has overtaken.
+func (s *storage) discard(x *wire.Snapshot) error {
+	if name := snapshotName(x.GetIndex()); name != s.snapshot {
+		return s.disk.Remove(name)
 	}
-	return err
+	return nil
 }
 
 // compact removes the segments that hold nothing after entry base.
