caller: QUIC endpoint and relayed HTTP/1.1 connections in their own package

The design has internal/caller as an adapter; the agent keeps what joins it with the flow table, the replies and the roster. A service without a key for connection IDs panicked in the agent; it has no QUIC endpoint now, and keys that cannot be used do not replace those in use.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -23,6 +23,7 @@
 	"github.com/go-kit/log/level"
 
 	"mangokeel"
+	"mangokeel/internal/caller"
 	"mangokeel/internal/flow"
 	"mangokeel/internal/timer"
 	"mangokeel/internal/view"
@@ -58,10 +59,10 @@
 	log    log.Logger
 	timers mangokeel.Timers
 	// cert is nil when no files are set; there is no QUIC endpoint then.
-	cert *certificate
+	cert *caller.Certificate
 
 	udp      *net.UDPConn
-	streams  *streams
+	streams  *caller.Streams
 	replies  *replies
 	probe    *probe
 	view     view.View
@@ -112,7 +113,7 @@
 	a.subs = append(a.subs,
 		a.timers.Every(expirePeriod, a.expire),
 		a.timers.Every(probePeriod, a.look),
-		a.timers.Every(reapPeriod, a.reap),
+		a.timers.Every(caller.ReapPeriod, a.reap),
 	)
 	a.done.Add(1)
 	go func() {
@@ -127,7 +128,7 @@
 // open loads the certificate and opens the data socket and the listener.
 func (a *Agent) open() error {
 	if a.cfg.Cert != "" {
-		c, err := newCertificate(a.cfg.Cert, a.cfg.Key)
+		c, err := caller.LoadCertificate(a.cfg.Cert, a.cfg.Key)
 		if err != nil {
 			return err
 		}
@@ -141,7 +142,7 @@
 	_ = a.udp.SetReadBuffer(socketBuffer)
 	_ = a.udp.SetWriteBuffer(socketBuffer)
 	a.replies.conn = a.udp
-	a.streams = newStreams(l, a.counted(a.target), a.accepts)
+	a.streams = caller.NewStreams(l, a.counted(a.target), a.accepts)
 	return nil
 }
 
@@ -184,7 +185,7 @@
 	// table is guarded by Agent.mu.
 	table *flow.Table
 	// endpoint is nil for UDP services, relay for HTTP services.
-	endpoint *endpoint
+	endpoint *caller.Endpoint
 	relay    *relay
 	// leaving and closed are used by the follower's goroutine only.
 	leaving bool
@@ -219,7 +220,7 @@
 			return
 		}
 		// The handle before this one may have been leaving.
-		a.streams.leave(false)
+		a.streams.Leave(false)
 		if reg.relay == nil {
 			a.probe.check()
 		}
@@ -247,15 +248,33 @@
 		if a.cert == nil {
 			return reg
 		}
-		var err error
-		if reg.endpoint, err = newEndpoint(a, reg, svc); err != nil {
-			_ = level.Error(a.log).Log("msg", "no QUIC endpoint", "err", err)
-		}
+		reg.endpoint = a.endpoint(reg, svc)
 		return reg
 	}
 	return nil
 }
 
+// endpoint returns a QUIC endpoint on the data socket, or nil.
+func (a *Agent) endpoint(reg *registration, svc *view.Service) *caller.Endpoint {
+	e, err := caller.NewEndpoint(caller.Config{
+		Service:     reg.service,
+		Handle:      reg.handle,
+		Handler:     a.counted(a.target),
+		Certificate: a.cert,
+		Keys:        svc.Keys,
+		Reset:       svc.GetReset_(),
+		Local:       a.udp.LocalAddr(),
+		Send: func(to netip.AddrPort, b []byte) error {
+			return a.replies.send(reg.service, reg.handle, to, b, a.timers.Now())
+		},
+	})
+	if err != nil {
+		_ = level.Error(a.log).Log("msg", "no QUIC endpoint", "err", err)
+		return nil
+	}
+	return e
+}
+
 // follow reacts to changes of the target's own record.
 func (a *Agent) follow(reg *registration, svc *view.Service, closed bool) {
 	if svc == nil || svc.Targets[reg.handle] == nil {
@@ -264,13 +283,13 @@
 	a.target.Update(svc, reg.handle)
 	leaving := svc.Targets[reg.handle].GetState() == wire.State_STATE_LEAVING
 	if reg.endpoint != nil {
-		reg.endpoint.keys.Store(svc.Keys)
+		reg.endpoint.SetKeys(svc.Keys)
 	}
 	if leaving != reg.leaving {
 		reg.leaving = leaving
-		a.streams.leave(leaving)
+		a.streams.Leave(leaving)
 		if reg.endpoint != nil {
-			reg.endpoint.leave(leaving)
+			reg.endpoint.Leave(leaving)
 		}
 		_ = level.Info(a.log).Log("msg", "state changed", "leaving", leaving)
 	}
@@ -286,9 +305,9 @@
 // abandon ends all flows of a target whose availability zone is out of service.
 func (a *Agent) abandon(reg *registration) {
 	const reason = "availability zone out of service"
-	a.streams.abandon()
+	a.streams.Abandon()
 	if reg.endpoint != nil {
-		reg.endpoint.abandon(reason)
+		reg.endpoint.Abandon(reason)
 	}
 	if reg.relay != nil {
 		reg.relay.abandon()
@@ -298,7 +317,7 @@
 // end closes what belongs to the registration.
 func (r *registration) end(reason string) {
 	if r.endpoint != nil {
-		r.endpoint.close(reason)
+		r.endpoint.Close(reason)
 	}
 	if r.relay != nil {
 		r.relay.close()
@@ -344,11 +363,11 @@
 
 // flows returns the number of open flows. The caller holds mu.
 func (a *Agent) flows() int {
-	n := a.streams.len()
+	n := a.streams.Len()
 	switch {
 	case a.reg == nil:
 	case a.reg.endpoint != nil:
-		n += a.reg.endpoint.len()
+		n += a.reg.endpoint.Len()
 	default:
 		n += a.reg.table.Len()
 	}
@@ -392,6 +411,6 @@
 	reg := a.reg
 	a.mu.Unlock()
 	if reg != nil && reg.endpoint != nil {
-		reg.endpoint.reap(now)
+		reg.endpoint.Reap(now)
 	}
 }
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -108,7 +108,7 @@
 	if reg != nil {
 		reg.end("target left")
 	}
-	a.streams.close()
+	a.streams.Close()
 	a.udp.Close()
 	a.done.Wait()
 	a.target.Close()
--- a/internal/agent/packet.go
+++ b/internal/agent/packet.go
@@ -6,7 +6,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"mangokeel/internal/cid"
 	"mangokeel/internal/flow"
 	"mangokeel/internal/wire"
 )
@@ -56,7 +55,7 @@
 	if reg.relay == nil {
 		p.Opens = opensQUIC(payload)
 		if reg.endpoint != nil {
-			p.Named, _ = reg.endpoint.keys.Load().Read(reg.service, cid.Find(payload))
+			p.Named = reg.endpoint.Named(payload)
 		}
 	}
 	d := reg.table.Receive(now, p)
@@ -75,7 +74,7 @@
 	case flow.Reset:
 		a.replies.seen(p.Caller, h.Via(), a.timers.Now())
 		if reg.endpoint != nil {
-			reg.endpoint.reset(p.Caller, payload)
+			reg.endpoint.Reset(p.Caller, payload)
 		}
 	case flow.Drop:
 	}
@@ -86,7 +85,7 @@
 	case reg.relay != nil:
 		reg.relay.send(p.Caller, payload)
 	case reg.endpoint != nil:
-		if !reg.endpoint.conn.push(p.Caller, payload) {
+		if !reg.endpoint.Deliver(p.Caller, payload) {
 			a.counters.overflow.Add(1)
 		}
 	}
--- a/internal/agent/cert.go
+++ b/internal/caller/cert.go
@@ -1,4 +1,4 @@
-package agent
+package caller
 
 import (
 	"crypto/tls"
@@ -12,9 +12,9 @@
 // certPeriod is the time between two looks whether the certificate was renewed.
 const certPeriod = 30 * time.Second
 
-// certificate is the service's TLS certificate. It is read again after its file
+// Certificate is the service's TLS certificate. It is read again after its file
 // has changed, because an agent outlives certificates.
-type certificate struct {
+type Certificate struct {
 	certFile, keyFile string
 
 	mu     sync.Mutex
@@ -24,13 +24,14 @@
 	looked  time.Time
 }
 
-func newCertificate(certFile, keyFile string) (*certificate, error) {
-	c := &certificate{certFile: certFile, keyFile: keyFile}
+// LoadCertificate returns the certificate in two PEM files.
+func LoadCertificate(certFile, keyFile string) (*Certificate, error) {
+	c := &Certificate{certFile: certFile, keyFile: keyFile}
 	return c, c.load()
 }
 
 // load reads the files. On an error the earlier certificate stays in use.
-func (c *certificate) load() error {
+func (c *Certificate) load() error {
 	info, err := os.Stat(c.certFile)
 	if err != nil {
 		return errors.Wrap(err, "load certificate")
@@ -47,7 +48,7 @@
 }
 
 // get returns the certificate for a handshake.
-func (c *certificate) get(*tls.ClientHelloInfo) (*tls.Certificate, error) {
+func (c *Certificate) get(*tls.ClientHelloInfo) (*tls.Certificate, error) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	if now := time.Now(); now.Sub(c.looked) > certPeriod {
--- a/internal/agent/cert_test.go
+++ b/internal/caller/cert_test.go
@@ -1,4 +1,4 @@
-package agent
+package caller
 
 import (
 	"bytes"
@@ -19,7 +19,7 @@
 	dir := t.TempDir()
 	file, key := filepath.Join(dir, "cert.pem"), filepath.Join(dir, "key.pem")
 	c.Assert(standin.WriteCert(dir), qt.IsNil)
-	x, err := newCertificate(file, key)
+	x, err := LoadCertificate(file, key)
 	c.Assert(err, qt.IsNil)
 	first, _ := x.get(nil)
 	renew := func(age time.Duration) {
--- a/internal/agent/endpoint.go
+++ b/internal/caller/endpoint.go
@@ -1,4 +1,15 @@
-package agent
+// Package caller speaks with callers: HTTP/3 over packets that balancers deliver,
+// and HTTP/1.1 over TCP connections that they relay.
+//
+// An Endpoint has no socket of its own. Its owner feeds it packets and sends what
+// it gives out:
+//
+//	e, err := caller.NewEndpoint(caller.Config{..., Send: send})
+//	e.Deliver(addr, payload)
+//
+// Both an Endpoint and Streams can be told to leave: callers then open another
+// connection for their next request, and requests that have begun go on.
+package caller
 
 import (
 	"context"
@@ -21,7 +32,6 @@
 
 	"mangokeel"
 	"mangokeel/internal/cid"
-	"mangokeel/internal/view"
 )
 
 const (
@@ -31,8 +41,8 @@
 	keepAlive = 20 * time.Second
 	// handshakeTimeout leaves a caller on a slow link several tries.
 	handshakeTimeout = 15 * time.Second
-	// reapPeriod is the time between two looks for idle connections.
-	reapPeriod = 500 * time.Millisecond
+	// ReapPeriod is the time between two looks for idle connections.
+	ReapPeriod = 500 * time.Millisecond
 	// goawayGrace is the time that a caller has to close its connection after a
 	// GOAWAY, before it is closed while idle.
 	goawayGrace = 3 * time.Second
@@ -44,12 +54,25 @@
 	maxReset = 43
 )
 
-// endpoint is the QUIC and HTTP/3 endpoint of one handle.
-type endpoint struct {
-	service   mangokeel.ServiceID
-	handle    mangokeel.Handle
-	handler   http.Handler
-	tls       *tls.Config
+// Config describes an Endpoint.
+type Config struct {
+	Service     mangokeel.ServiceID
+	Handle      mangokeel.Handle
+	Handler     http.Handler
+	Certificate *Certificate
+	// Keys make the connection IDs.
+	Keys *cid.Keys
+	// Reset is the service's secret for stateless resets.
+	Reset []byte
+	// Local is the address of the data socket.
+	Local net.Addr
+	// Send sends a packet to a caller. It must not keep b.
+	Send func(caller netip.AddrPort, b []byte) error
+}
+
+// Endpoint is the QUIC and HTTP/3 endpoint of one handle.
+type Endpoint struct {
+	cfg       Config
 	resetKey  quic.StatelessResetKey
 	keys      atomic.Pointer[cid.Keys]
 	conn      *packetConn
@@ -57,7 +80,6 @@
 	listener  *quic.Listener
 	ctx       context.Context
 	cancel    context.CancelFunc
-	resets    atomic.Uint64
 
 	mu sync.Mutex
 	// server serves new connections. Those of earlier ones were told to go.
@@ -77,22 +99,14 @@
 
 type connectionKey struct{}
 
-// newEndpoint opens an endpoint on a's data socket.
-func newEndpoint(a *Agent, reg *registration, svc *view.Service) (*endpoint, error) {
-	e := &endpoint{
-		service: reg.service,
-		handle:  reg.handle,
-		handler: a.counted(a.target),
-		tls:     http3.ConfigureTLSConfig(&tls.Config{GetCertificate: a.cert.get, MinVersion: tls.VersionTLS13}),
-		conns:   map[*quic.Conn]*connection{},
-	}
-	e.resetKey = sha256.Sum256(append([]byte("reset"), svc.GetReset_()...))
-	token := quic.TokenGeneratorKey(sha256.Sum256(append([]byte("token"), svc.GetReset_()...)))
-	e.keys.Store(svc.Keys)
+// NewEndpoint returns an endpoint that serves until Close.
+func NewEndpoint(cfg Config) (*Endpoint, error) {
+	e := &Endpoint{cfg: cfg, conns: map[*quic.Conn]*connection{}}
+	e.resetKey = sha256.Sum256(append([]byte("reset"), cfg.Reset...))
+	token := quic.TokenGeneratorKey(sha256.Sum256(append([]byte("token"), cfg.Reset...)))
+	e.keys.Store(cfg.Keys)
 	e.ctx, e.cancel = context.WithCancel(context.Background())
-	e.conn = newPacketConn(a.udp.LocalAddr(), func(caller netip.AddrPort, b []byte) error {
-		return a.replies.send(e.service, e.handle, caller, b, a.timers.Now())
-	})
+	e.conn = newPacketConn(cfg.Local, cfg.Send)
 	e.transport = &quic.Transport{
 		Conn:                  e.conn,
 		ConnectionIDGenerator: e,
@@ -100,8 +114,21 @@
 		TokenGeneratorKey:     &token,
 	}
 	e.server = e.newServer()
-	var err error
-	e.listener, err = e.transport.Listen(e.tls, &quic.Config{
+	if err := e.listen(); err != nil {
+		e.cancel()
+		return nil, err
+	}
+	go e.accept()
+	return e, nil
+}
+
+// listen starts the QUIC server on the transport.
+func (e *Endpoint) listen() (err error) {
+	if !e.keys.Load().Ready() {
+		return errors.New("no key for connection IDs")
+	}
+	t := &tls.Config{GetCertificate: e.cfg.Certificate.get, MinVersion: tls.VersionTLS13}
+	e.listener, err = e.transport.Listen(http3.ConfigureTLSConfig(t), &quic.Config{
 		HandshakeIdleTimeout: handshakeTimeout,
 		MaxIdleTimeout:       idleTimeout,
 		KeepAlivePeriod:      keepAlive,
@@ -109,27 +136,22 @@
 		DisablePathMTUDiscovery: true,
 		Allow0RTT:               false,
 	})
-	if err != nil {
-		e.cancel()
-		return nil, errors.Wrap(err, "open QUIC endpoint")
-	}
-	go e.accept()
-	return e, nil
+	return errors.Wrap(err, "open QUIC endpoint")
 }
 
 // GenerateConnectionID implements quic.ConnectionIDGenerator.
-func (e *endpoint) GenerateConnectionID() (quic.ConnectionID, error) {
+func (e *Endpoint) GenerateConnectionID() (quic.ConnectionID, error) {
 	var r [8]byte
 	// Read of crypto/rand never fails.
 	_, _ = rand.Read(r[:])
-	id := e.keys.Load().New(e.service, e.handle, binary.BigEndian.Uint64(r[:]))
+	id := e.keys.Load().New(e.cfg.Service, e.cfg.Handle, binary.BigEndian.Uint64(r[:]))
 	return quic.ConnectionIDFromBytes(id[:]), nil
 }
 
 // ConnectionIDLen implements quic.ConnectionIDGenerator.
-func (*endpoint) ConnectionIDLen() int { return cid.Len }
+func (*Endpoint) ConnectionIDLen() int { return cid.Len }
 
-func (e *endpoint) newServer() *http3.Server {
+func (e *Endpoint) newServer() *http3.Server {
 	return &http3.Server{
 		Handler: http.HandlerFunc(e.serve),
 		ConnContext: func(ctx context.Context, c *quic.Conn) context.Context {
@@ -143,17 +165,17 @@
 }
 
 // serve counts the requests of a connection.
-func (e *endpoint) serve(w http.ResponseWriter, r *http.Request) {
+func (e *Endpoint) serve(w http.ResponseWriter, r *http.Request) {
 	c, _ := r.Context().Value(connectionKey{}).(*connection)
 	if c != nil {
 		c.running.Add(1)
 		defer c.running.Add(-1)
 	}
-	e.handler.ServeHTTP(w, r)
+	e.cfg.Handler.ServeHTTP(w, r)
 }
 
 // accept serves connections until the endpoint is closed.
-func (e *endpoint) accept() {
+func (e *Endpoint) accept() {
 	for {
 		c, err := e.listener.Accept(e.ctx)
 		if err != nil {
@@ -163,7 +185,7 @@
 	}
 }
 
-func (e *endpoint) serveConn(c *quic.Conn) {
+func (e *Endpoint) serveConn(c *quic.Conn) {
 	e.mu.Lock()
 	s := e.server
 	e.conns[c] = &connection{}
@@ -177,17 +199,38 @@
 	e.mu.Unlock()
 }
 
-// leave sets whether callers are told to use another connection for new requests.
+// SetKeys changes the keys of new connection IDs. Keys that are not ready change
+// nothing.
+func (e *Endpoint) SetKeys(k *cid.Keys) {
+	if k.Ready() {
+		e.keys.Store(k)
+	}
+}
+
+// Named returns the handle in the connection ID of a caller's packet, or 0.
+func (e *Endpoint) Named(payload []byte) mangokeel.Handle {
+	h, _ := e.keys.Load().Read(e.cfg.Service, cid.Find(payload))
+	return h
+}
+
+// Deliver hands a copy of a caller's packet to the endpoint. It is false when too
+// many packets wait already.
+func (e *Endpoint) Deliver(caller netip.AddrPort, payload []byte) bool {
+	return e.conn.push(caller, payload)
+}
+
+// Leave sets whether callers are told to use another connection for new requests.
 // Requests that have begun go on.
-func (e *endpoint) leave(leaving bool) {
+func (e *Endpoint) Leave(leaving bool) {
 	e.mu.Lock()
 	e.leaving = leaving
 	e.mu.Unlock()
 }
 
-// reap tells the callers of a leaving target to go, those of late connections
-// included, and closes connections without requests whose callers did not go.
-func (e *endpoint) reap(now time.Time) {
+// Reap tells the callers of a leaving target to go, those of late connections
+// included, and closes connections without requests whose callers did not go. It
+// is called every ReapPeriod.
+func (e *Endpoint) Reap(now time.Time) {
 	var idle []*quic.Conn
 	e.mu.Lock()
 	if e.leaving {
@@ -208,7 +251,7 @@
 // so; another server takes its place. A connection that the server has not yet
 // counted would end its count twice, which panics, so tell waits for it. The
 // caller holds mu.
-func (e *endpoint) tell(now time.Time) {
+func (e *Endpoint) tell(now time.Time) {
 	var untold []*connection
 	for _, c := range e.conns {
 		switch {
@@ -230,8 +273,8 @@
 	go func() { _ = old.Shutdown(e.ctx) }()
 }
 
-// abandon closes all connections.
-func (e *endpoint) abandon(reason string) {
+// Abandon closes all connections with a reason.
+func (e *Endpoint) Abandon(reason string) {
 	e.mu.Lock()
 	conns := make([]*quic.Conn, 0, len(e.conns))
 	for q := range e.conns {
@@ -243,25 +286,25 @@
 	}
 }
 
-// close ends the endpoint and its connections.
-func (e *endpoint) close(reason string) {
-	e.abandon(reason)
+// Close ends the endpoint and its connections with a reason.
+func (e *Endpoint) Close(reason string) {
+	e.Abandon(reason)
 	e.cancel()
 	e.transport.Close()
 }
 
-// len returns the number of connections.
-func (e *endpoint) len() int {
+// Len returns the number of connections.
+func (e *Endpoint) Len() int {
 	e.mu.Lock()
 	defer e.mu.Unlock()
 	return len(e.conns)
 }
 
-// reset answers a packet whose target has left with a stateless reset. It is
+// Reset answers a packet whose target has left with a stateless reset. It is
 // written here and not by the transport, which does not answer the short packets
 // of a caller that only listens. A reset is shorter than the packet it answers,
 // so that two endpoints cannot answer each other without end.
-func (e *endpoint) reset(caller netip.AddrPort, payload []byte) {
+func (e *Endpoint) Reset(caller netip.AddrPort, payload []byte) {
 	id := cid.Find(payload)
 	n := min(len(payload)-1, maxReset)
 	if len(id) != cid.Len || payload[0]&0x80 != 0 || n < minReset {
@@ -274,7 +317,6 @@
 	mac := hmac.New(sha256.New, e.resetKey[:])
 	mac.Write(id)
 	copy(b[n-16:], mac.Sum(nil))
-	e.resets.Add(1)
 	_ = e.conn.write(caller, b)
 }
 
--- a/internal/agent/stream.go
+++ b/internal/caller/stream.go
@@ -1,4 +1,4 @@
-package agent
+package caller
 
 import (
 	"encoding/binary"
@@ -17,8 +17,8 @@
 // prefaceTimeout bounds the time until a balancer has written the preface.
 const prefaceTimeout = 5 * time.Second
 
-// streams serves HTTP/1.1 on TCP connections that balancers relay.
-type streams struct {
+// Streams serves HTTP/1.1 on TCP connections that balancers relay.
+type Streams struct {
 	l       net.Listener
 	accepts func(*wire.Header) bool
 	server  *http.Server
@@ -30,8 +30,10 @@
 	conns map[net.Conn]struct{}
 }
 
-func newStreams(l net.Listener, h http.Handler, accepts func(*wire.Header) bool) *streams {
-	s := &streams{
+// NewStreams serves h on the connections of l whose preface accepts takes. It owns
+// l.
+func NewStreams(l net.Listener, h http.Handler, accepts func(*wire.Header) bool) *Streams {
+	s := &Streams{
 		l:       l,
 		accepts: accepts,
 		queue:   make(chan net.Conn),
@@ -40,11 +42,11 @@
 	}
 	s.server = &http.Server{Handler: h, ConnState: s.track, ReadHeaderTimeout: time.Minute, IdleTimeout: idleTimeout}
 	go s.accept()
-	go func() { _ = s.server.Serve(s) }()
+	go func() { _ = s.server.Serve(accepted{s}) }()
 	return s
 }
 
-func (s *streams) accept() {
+func (s *Streams) accept() {
 	for {
 		c, err := s.l.Accept()
 		if err != nil {
@@ -55,7 +57,7 @@
 }
 
 // enter reads the preface and queues the connection for the server.
-func (s *streams) enter(c net.Conn) {
+func (s *Streams) enter(c net.Conn) {
 	var h wire.Header
 	if !readPreface(c, &h) || !s.accepts(&h) {
 		c.Close()
@@ -96,7 +98,7 @@
 func (c stream) RemoteAddr() net.Addr { return net.TCPAddrFromAddrPort(c.caller) }
 
 // track keeps the set of open connections.
-func (s *streams) track(c net.Conn, state http.ConnState) {
+func (s *Streams) track(c net.Conn, state http.ConnState) {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	switch state {
@@ -107,11 +109,12 @@
 	}
 }
 
-// leave ends idle connections, and the others after their present request.
-func (s *streams) leave(leaving bool) { s.server.SetKeepAlivesEnabled(!leaving) }
+// Leave ends idle connections, and the others after their present request, for as
+// long as leaving is set.
+func (s *Streams) Leave(leaving bool) { s.server.SetKeepAlivesEnabled(!leaving) }
 
-// abandon closes all connections.
-func (s *streams) abandon() {
+// Abandon closes all connections.
+func (s *Streams) Abandon() {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	for c := range s.conns {
@@ -119,30 +122,34 @@
 	}
 }
 
-func (s *streams) len() int {
+// Len returns the number of open connections.
+func (s *Streams) Len() int {
 	s.mu.Lock()
 	defer s.mu.Unlock()
 	return len(s.conns)
 }
 
+// Close ends the listener and all connections.
+func (s *Streams) Close() { _ = s.server.Close() }
+
+// accepted is the listener of the HTTP server.
+type accepted struct{ s *Streams }
+
 // Accept implements net.Listener.
-func (s *streams) Accept() (net.Conn, error) {
+func (a accepted) Accept() (net.Conn, error) {
 	select {
-	case c := <-s.queue:
+	case c := <-a.s.queue:
 		return c, nil
-	case <-s.done:
+	case <-a.s.done:
 		return nil, net.ErrClosed
 	}
 }
 
 // Close implements net.Listener.
-func (s *streams) Close() error {
-	s.once.Do(func() { close(s.done) })
-	return s.l.Close()
+func (a accepted) Close() error {
+	a.s.once.Do(func() { close(a.s.done) })
+	return a.s.l.Close()
 }
 
 // Addr implements net.Listener.
-func (s *streams) Addr() net.Addr { return s.l.Addr() }
-
-// close ends the listener and all connections.
-func (s *streams) close() { _ = s.server.Close() }
+func (a accepted) Addr() net.Addr { return a.s.l.Addr() }
--- a/internal/cid/cid.go
+++ b/internal/cid/cid.go
@@ -63,7 +63,10 @@
 	return k, nil
 }
 
-// New returns an ID for handle. The random number must differ from call to call.
+// Ready reports whether there is a key for New.
+func (k *Keys) Ready() bool { return k.blocks[k.last] != nil }
+
+// New returns an ID for handle. The keys must be Ready. The random number must differ from call to call.
 func (k *Keys) New(service mangokeel.ServiceID, handle mangokeel.Handle, random uint64) [Len]byte {
 	var id, p [Len]byte
 	id[0] = k.last
