agent: reach callers sooner when their balancer died; log a refused join

Cause: a sparse feed sent to the dead balancer for a second after the caller's last packet. Replies now take turns over all balancers after 250 ms. A join that control refuses was silent. The drain time of a handle that is not in the view yet is unknown and no longer ends a departure early.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -34,6 +34,8 @@
 const (
 	// expirePeriod is the time between two looks at a part of the flow table.
 	expirePeriod = 250 * time.Millisecond
+	// joinPatience is the time after which a target that has not joined is logged.
+	joinPatience = 10 * time.Second
 	// portTries bounds the search for a port that is free for TCP and UDP.
 	portTries = 10
 )
@@ -114,6 +116,7 @@
 		a.timers.Every(expirePeriod, a.expire),
 		a.timers.Every(probePeriod, a.look),
 		a.timers.Every(caller.ReapPeriod, a.reap),
+		a.timers.After(joinPatience, a.outside),
 	)
 	a.done.Add(1)
 	go func() {
@@ -209,6 +212,14 @@
 	_ = level.Info(a.log).Log("msg", "joined", "handle", id)
 }
 
+// outside logs that the target is not in the roster, because control cannot be
+// reached or refuses it.
+func (a *Agent) outside(time.Time) {
+	if a.handle.Load() == 0 {
+		_ = level.Warn(a.log).Log("msg", "not joined yet", "service", a.cfg.Service, "zone", a.cfg.Zone)
+	}
+}
+
 // changed takes over a new state of the view.
 func (a *Agent) changed(s *view.State) {
 	a.replies.update(s)
--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -58,7 +58,11 @@
 	resp, err := client(t).Get("https://" + f.addr())
 	c.Assert(err, qt.IsNil)
 	defer resp.Body.Close()
+	var longest time.Duration
+	last := time.Now()
+	defer func() { t.Logf("longest time between two lines: %s", longest) }()
 	check(c, resp.Body, 200, func(i int) {
+		longest, last = max(longest, time.Since(last)), time.Now()
 		switch i {
 		case 50:
 			c.Assert(f.replies[0].Load() > 0 && f.replies[1].Load() > 0, qt.IsTrue)
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -57,24 +57,24 @@
 			cancel()
 		}
 		spent := a.timers.Now().Sub(begin)
-		limit := a.drainTime()
-		if limit > 0 && spent >= limit {
-			_ = level.Warn(a.log).Log("msg", "drain time passed", "flows", a.busy())
+		if spent >= settle && a.busy() == 0 {
 			return
 		}
-		if spent >= settle && a.busy() == 0 {
+		if limit := a.drainTime(); limit > 0 && spent >= limit {
+			_ = level.Warn(a.log).Log("msg", "drain time passed", "flows", a.busy())
 			return
 		}
 		time.Sleep(drainPeriod)
 	}
 }
 
-// drainTime returns the service's drain time; 0 is no limit.
+// drainTime returns the service's drain time; 0 is no limit. Flows of a service
+// that is gone reach no caller.
 func (a *Agent) drainTime() time.Duration {
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.reg == nil {
-		return settle
+		return 0
 	}
 	svc := a.view.State().Service(a.reg.service)
 	if svc == nil {
--- a/internal/agent/reply.go
+++ b/internal/agent/reply.go
@@ -19,8 +19,8 @@
 	// viaFresh is the time for which replies go to the balancer that delivered a
 	// caller's last packet. After it they take turns over all balancers, so that
 	// a caller whose balancer died is reached before the lease of that balancer
-	// ends.
-	viaFresh = time.Second
+	// ends. The time is that of a few retransmissions.
+	viaFresh = 250 * time.Millisecond
 	// viaKept is the time after which a silent caller's balancer is forgotten.
 	viaKept = time.Minute
 	// viaSweep is the period of forgetting.
