--- a/internal/caller/endpoint.go
+++ b/internal/caller/endpoint.go
@@ -124,7 +124,7 @@
 
 // listen starts the QUIC server on the transport.
 func (e *Endpoint) listen() (err error) {
-	if !e.keys.Load().Ready() {
+	if !e.keys.Load().Usable() {
 		return errors.New("no key for connection IDs")
 	}
 	t := &tls.Config{GetCertificate: e.cfg.Certificate.get, MinVersion: tls.VersionTLS13}
@@ -199,10 +199,10 @@
 	e.mu.Unlock()
 }
 
-// SetKeys changes the keys of new connection IDs. Keys that are not ready change
+// SetKeys changes the keys of new connection IDs. Keys that are not usable change
 // nothing.
 func (e *Endpoint) SetKeys(k *cid.Keys) {
-	if k.Ready() {
+	if k.Usable() {
 		e.keys.Store(k)
 	}
 }
