target: claim keys, run claimed work to its end, replay answers

Cause: bookings need at most one run, and callers on bad links ask again. Change: a request that is not idempotent and has a key is claimed while it waits for its slot; it runs to its end without its caller, and its end is recorded. The header of an answer without a first part is flushed after 5 ms; a feed without news kept its caller waiting for the header before. The expected wait counted half a service time although nothing ran, so a cold target refused what it could start in time.

--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -186,8 +186,9 @@
 // withdrawn at its members.
 type Outcome struct {
 	Verdict Verdict
-	// Until is the latest start for Run. The claim is forgotten later.
-	Until time.Time
+	// Until is the latest start and End the latest end for Run. The claim is
+	// forgotten later.
+	Until, End time.Time
 	// Answer is set for Stored.
 	Answer *wire.Answer
 	// Fenced means that a member knows a newer home.
@@ -204,7 +205,8 @@
 	Hash  Hash
 	Owner mangokeel.Handle
 	home  Home
-	until time.Time
+	// until and end are a quarter and three quarters of the lifetime after New.
+	until, end time.Time
 	// parties are the homes of which a majority is needed: one, or two while the
 	// home is joint.
 	parties [][]mangokeel.Handle
@@ -230,6 +232,7 @@
 	c := &Claim{
 		Key: k, ID: NewID(), Hash: hash, Owner: owner, home: home,
 		until: now.Add(lifetime / 4),
+		end:   now.Add(lifetime * 3 / 4),
 		votes: map[mangokeel.Handle]wire.Vote{},
 		held:  map[ID]*other{},
 	}
@@ -273,7 +276,7 @@
 	case c.ran():
 	case c.won():
 		c.decided = true
-		return Outcome{Verdict: Run, Until: c.until}, true
+		return Outcome{Verdict: Run, Until: c.until, End: c.end}, true
 	case c.possible():
 		return Outcome{}, false
 	}
--- a/internal/claim/claim_test.go
+++ b/internal/claim/claim_test.go
@@ -110,7 +110,7 @@
 func (f *fleet) home(h *wire.Home) {
 	f.service.Home = h
 	for i, k := range f.keepers {
-		k.Update(f.service, mangokeel.Handle(len(f.keepers)+1), mangokeel.Handle(i+1))
+		k.Update(f.service, mangokeel.Handle(i+1))
 	}
 }
 
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -82,8 +82,10 @@
 	self    mangokeel.Handle
 	home    Home
 	peers   map[mangokeel.Handle]netip.AddrPort
-	// next is above every handle of the view; others are alive for all it knows.
-	next     mangokeel.Handle
+	// newest is the highest handle that the view has shown. The agent of a higher
+	// one is alive for all this one knows; handles rise, so that of a lower one that
+	// is not among peers has left.
+	newest   mangokeel.Handle
 	lifetime time.Duration
 }
 
@@ -139,9 +141,8 @@
 	fn()
 }
 
-// Update takes the service's record from a newer view, the view's next handle and
-// the agent's own handle.
-func (k *Keeper) Update(s *view.Service, next, own mangokeel.Handle) {
+// Update takes the service's record from a newer view and the agent's own handle.
+func (k *Keeper) Update(s *view.Service, own mangokeel.Handle) {
 	if s == nil {
 		return
 	}
@@ -160,11 +161,12 @@
 	if home.Epoch != k.home.Epoch {
 		_ = level.Info(k.log).Log("msg", "home changed", "epoch", home.Epoch, "joint", len(home.Next) > 0)
 	}
-	k.home, k.self, k.next = home, own, next
+	k.home, k.self = home, own
 	k.member.SetHome(now, own, home)
 	k.peers = make(map[mangokeel.Handle]netip.AddrPort, len(s.Targets))
 	for h, t := range s.Targets {
 		k.peers[h] = Address(t.Agent)
+		k.newest = max(k.newest, h)
 	}
 }
 
@@ -182,6 +184,13 @@
 	return epoch
 }
 
+// InHome reports whether claims are held by this agent. An agent that leaves waits
+// for its end, within bounds, so that the home moves before the claims are gone.
+func (k *Keeper) InHome() (in bool) {
+	k.locked(func() { in = k.member.in(k.home.Now) || k.member.in(k.home.Next) })
+	return in
+}
+
 // Pending is the number of attempts whose end is still being told.
 func (k *Keeper) Pending() int { return int(k.spreading.Load()) }
 
@@ -198,7 +207,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	_, ok := k.peers[h]
-	return ok || h >= k.next
+	return ok || h > k.newest
 }
 
 // Claim asks the home of key for permission to run a request with the given hash.
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -315,16 +315,19 @@
 
 // expected returns the expected wait behind ahead requests of class c.
 func (l *Limiter) expected(now time.Time, c Class, ahead int) time.Duration {
-	n := ahead + 1
+	n := float64(ahead)
 	for i := range c {
-		n += len(l.queue[i])
+		n += float64(len(l.queue[i]))
 	}
 	if c == Bulk {
-		n = min(n, int(float64(ahead+1)/bulkShare))
+		n = min(n, float64(ahead)/bulkShare)
+	}
+	if len(l.running) >= l.Slots() {
+		// Half of a service time is left of those that run, on average.
+		n += 0.5
 	}
 	pause := max(0, l.notBefore.Sub(now))
-	// Half of a service time is left of those that run, on average.
-	return pause + time.Duration((float64(n)-0.5)*float64(l.health.mean)/l.limit)
+	return pause + time.Duration(n*float64(l.health.mean)/l.limit)
 }
 
 // free reports whether a request may start now.
--- a/internal/target/relay.go
+++ b/internal/target/relay.go
@@ -6,6 +6,7 @@
 	"net"
 	"net/http"
 	"net/netip"
+	"strconv"
 	"time"
 
 	"github.com/cockroachdb/errors"
@@ -19,6 +20,9 @@
 	chunksAhead = 8
 	// stallTimeout ends an answer of which the caller reads nothing for so long.
 	stallTimeout = time.Minute
+	// headerPause is the wait for the first part of an answer before its header is
+	// sent alone, as for a feed that has no news yet.
+	headerPause = 5 * time.Millisecond
 )
 
 // errForeign marks an answer that belongs to another request.
@@ -53,6 +57,9 @@
 	}
 	id := newID()
 	out.Header.Set(headerRequest, id)
+	if q.deadline.IsZero() && !q.end.IsZero() {
+		out.Header.Set(headerDeadline, strconv.FormatInt(q.end.UnixMilli(), 10))
+	}
 	resp, err := h.local.of(q).RoundTrip(out)
 	if err != nil {
 		return nil, err
@@ -148,7 +155,23 @@
 	rc := http.NewResponseController(w)
 	// Not every ResponseWriter has write deadlines.
 	defer func() { _ = rc.SetWriteDeadline(time.Time{}) }()
-	for c := range chunks {
+	wait := time.NewTimer(headerPause)
+	defer wait.Stop()
+	for {
+		var c chunk
+		var ok bool
+		select {
+		case c, ok = <-chunks:
+			if !ok {
+				return io.ErrUnexpectedEOF
+			}
+		case <-wait.C:
+			if err := rc.Flush(); err != nil {
+				return err
+			}
+			continue
+		}
+		wait.Stop()
 		if len(c.b) > 0 {
 			_ = rc.SetWriteDeadline(time.Now().Add(stallTimeout))
 			if _, err := w.Write(c.b); err != nil {
@@ -167,5 +190,4 @@
 			}
 		}
 	}
-	return io.ErrUnexpectedEOF
 }
--- a/internal/target/request.go
+++ b/internal/target/request.go
@@ -40,6 +40,9 @@
 	key    string
 	// deadline is zero for none.
 	deadline time.Time
+	// end is the latest end of a claimed request, which its target gets as deadline
+	// if the caller sets none. It is zero for others.
+	end time.Time
 	// relayed marks requests that another agent handed over; they stay here.
 	relayed bool
 	// body is the request's whole body if whole is set.
--- a/internal/target/serve.go
+++ b/internal/target/serve.go
@@ -7,13 +7,20 @@
 	"strconv"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
+	"mangokeel/internal/claim"
 	"mangokeel/internal/limit"
 )
 
 // Values of the outcome header.
 const (
-	outcomeNotRun  = "not-run"
-	outcomeUnknown = "unknown"
+	outcomeNotRun   = "not-run"
+	outcomeUnknown  = "unknown"
+	outcomeRunning  = "running"
+	outcomeRan      = "ran"
+	outcomeStored   = "stored"
+	outcomeMismatch = "mismatch"
 )
 
 // minRetry is the least Retry-After, which is in whole seconds.
@@ -31,6 +38,8 @@
 	// costs the service nothing.
 	elsewhere  bool
 	retryAfter time.Duration
+	// settled is set when another attempt with the same key decides the answer.
+	settled *claim.Outcome
 }
 
 // ServeHTTP serves one request.
@@ -72,7 +81,11 @@
 		h.metrics.refusals.WithLabelValues("leaving").Inc()
 		return try{elsewhere: true, retryAfter: minRetry}
 	}
-	ticket := h.gate.offer(limit.Request{Class: q.class, Kind: q.kind, Deadline: q.deadline})
+	claimed := h.claims != nil && q.once && q.key != ""
+	ticket := h.gate.offer(limit.Request{Class: q.class, Kind: q.kind, Deadline: q.deadline, Hold: claimed})
+	if claimed && ticket.Verdict != limit.Refuse {
+		return h.claimed(ctx, q, ticket)
+	}
 	if d := h.gate.wait(ctx, ticket); d.Verdict == limit.Refuse {
 		h.metrics.refusals.WithLabelValues(d.Reason.String()).Inc()
 		return try{retryAfter: d.RetryAfter}
@@ -96,7 +109,7 @@
 		}
 		h.gate.done(id, limit.Failed)
 		return try{elsewhere: true, retryAfter: minRetry}
-	case q.Context().Err() != nil:
+	case errors.Is(ctx.Err(), context.Canceled):
 		h.gate.done(id, limit.Cancelled)
 	default:
 		h.gate.done(id, limit.Failed)
@@ -124,6 +137,8 @@
 // retries reports whether another agent may be asked after t.
 func (h *Handler) retries(q *request, t try) bool {
 	switch {
+	case t.settled != nil:
+		return false
 	case q.relayed || q.Context().Err() != nil:
 		return false
 	case !q.deadline.IsZero() && !h.timers.Now().Before(q.deadline):
@@ -182,7 +197,11 @@
 
 // deliver gives the caller the outcome of a try.
 func (h *Handler) deliver(w http.ResponseWriter, q *request, t try) {
-	if t.resp == nil {
+	switch {
+	case t.settled != nil:
+		h.settle(w, t.settled)
+		return
+	case t.resp == nil:
 		h.refuse(w, t)
 		return
 	}
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -10,7 +10,8 @@
 // Each request is classified by the service's rules and admitted by a
 // limit.Limiter. A request that is known not to have run, or that is idempotent,
 // is offered once to another agent; what remains is refused with the time to try
-// again. An answer that ends early at the target ends with an aborted stream at
+// again. A request that is not idempotent and has a key is claimed first, so that it
+// runs at most once. An answer that ends early at the target ends with an aborted stream at
 // the caller, never as if it were complete.
 package target
 
@@ -28,6 +29,7 @@
 	"github.com/prometheus/client_golang/prometheus"
 
 	"mangokeel"
+	"mangokeel/internal/claim"
 	"mangokeel/internal/timer"
 	"mangokeel/internal/view"
 	"mangokeel/internal/wire"
@@ -58,6 +60,8 @@
 	metrics  *metrics
 	gate     *gate
 	budget   budget
+	// claims is nil for services whose requests are not claimed.
+	claims *claim.Keeper
 	// local and peers carry requests to the target and to other agents.
 	local, peers transports
 	// active counts the requests in the handler, background work included.
@@ -97,6 +101,9 @@
 // WithRegistry adds the handler's metrics to r.
 func WithRegistry(r prometheus.Registerer) Option { return func(h *Handler) { h.registry = r } }
 
+// WithClaims makes the handler claim keys through k, which it keeps up to date.
+func WithClaims(k *claim.Keeper) Option { return func(h *Handler) { h.claims = k } }
+
 // New returns a handler for the target at addr.
 func New(addr netip.AddrPort, opts ...Option) (*Handler, error) {
 	if !addr.IsValid() {
@@ -149,8 +156,12 @@
 // nil before the first view.
 func (h *Handler) Update(s *view.Service, own mangokeel.Handle) {
 	h.current.Store(&current{service: s, own: own})
-	if s != nil {
-		h.gate.update(s)
+	if s == nil {
+		return
+	}
+	h.gate.update(s)
+	if h.claims != nil {
+		h.claims.Update(s, own)
 	}
 }
 
@@ -177,9 +188,15 @@
 	return w
 }
 
-// Running is the number of requests in the handler, those that wait and those
-// whose answers are under way included.
-func (h *Handler) Running() int { return int(h.active.Load()) }
+// Running is the number of requests in the handler, those that wait, those whose
+// answers are under way and those whose end is still being recorded included.
+func (h *Handler) Running() int {
+	n := int(h.active.Load())
+	if h.claims != nil {
+		n += h.claims.Pending()
+	}
+	return n
+}
 
 // Load returns the handler's part of the report to control.
 func (h *Handler) Load() *wire.Load {
