--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -14,7 +14,6 @@
 import (
 	"context"
 	"net/netip"
-	"runtime"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -32,8 +31,13 @@
 
 // Timing of a balancer.
 const (
-	// defaultDrain bounds how long a leaving balancer keeps TCP connections.
-	defaultDrain = 30 * time.Second
+	// defaultGrace is how long a leaving balancer still accepts connections. The
+	// status address stops to answer at once, so that a fabric which checks it every
+	// second or two has moved to other balancers by then.
+	defaultGrace = 5 * time.Second
+	// defaultDrain bounds how long a leaving balancer keeps TCP connections. A
+	// dispatch feed stays open for a whole shift.
+	defaultDrain = 8 * time.Hour
 	// drainCheck is the period at which a leaving balancer counts connections.
 	drainCheck = 50 * time.Millisecond
 	// bindRetry is the period at which failed service sockets are tried again.
@@ -43,9 +47,9 @@
 	// defaultLinger is how long a balancer that has left still forwards. Agents
 	// hear of the departure within a poll of 1 s and send replies until then.
 	defaultLinger = 2 * time.Second
-	// maxReaders bounds the readers of each socket. More readers than this only
-	// wait for the socket's read lock.
-	maxReaders = 4
+	// defaultReaders is the number of readers of each socket. The second covers
+	// for one that waits for a processor; more only contend for the socket's lock.
+	defaultReaders = 2
 )
 
 // endpoints are the open services.
@@ -58,6 +62,7 @@
 	reg     prometheus.Registerer
 	timers  mangokeel.Timers
 	listen  func(netip.AddrPort) (mangokeel.Fabric, error)
+	grace   time.Duration
 	drain   time.Duration
 	linger  time.Duration
 	readers int
@@ -74,6 +79,8 @@
 	open atomic.Pointer[endpoints]
 	// failed has the services whose sockets could not be opened.
 	failed map[mangokeel.ServiceID]string
+	// refusing is true once new TCP connections are refused.
+	refusing bool
 	// closed refuses to open sockets.
 	closed bool
 
@@ -102,7 +109,11 @@
 	return func(b *Balancer) { b.listen = fn }
 }
 
-// WithDrain bounds how long a leaving balancer keeps TCP connections.
+// WithGrace sets how long a leaving balancer still accepts connections.
+func WithGrace(d time.Duration) Option { return func(b *Balancer) { b.grace = d } }
+
+// WithDrain bounds how long a leaving balancer keeps TCP connections. It takes
+// precedence over the settings.
 func WithDrain(d time.Duration) Option { return func(b *Balancer) { b.drain = d } }
 
 // WithLinger sets how long a balancer that has left still forwards packets.
@@ -120,13 +131,17 @@
 		reg:     prometheus.NewRegistry(),
 		timers:  timer.Real{},
 		listen:  ListenPackets,
+		grace:   defaultGrace,
 		drain:   defaultDrain,
 		linger:  defaultLinger,
-		readers: min(maxReaders, runtime.GOMAXPROCS(0)),
+		readers: defaultReaders,
 		streams: streams{open: map[*stream]struct{}{}},
 		failed:  map[mangokeel.ServiceID]string{},
 		stop:    make(chan struct{}),
 	}
+	if cfg.Drain > 0 {
+		b.drain = time.Duration(cfg.Drain)
+	}
 	for _, o := range opts {
 		o(b)
 	}
@@ -155,6 +170,8 @@
 func (b *Balancer) Run() error {
 	<-b.stop
 	b.leave(false)
+	b.wait(b.grace)
+	b.refuseStreams()
 	b.awaitStreams()
 	b.follower.Close()
 	b.leave(true)
@@ -180,6 +197,16 @@
 	_ = level.Info(b.log).Log("msg", "leaving", "gone", gone, "connections", b.streams.count())
 }
 
+// refuseStreams closes the TCP listeners. Open connections continue.
+func (b *Balancer) refuseStreams() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	b.refusing = true
+	for _, e := range *b.open.Load() {
+		e.streams.Close()
+	}
+}
+
 // awaitStreams returns when no TCP connection is open or the drain time is over.
 func (b *Balancer) awaitStreams() {
 	done := make(chan struct{})
--- a/internal/fabric/balancer_test.go
+++ b/internal/fabric/balancer_test.go
@@ -143,24 +143,35 @@
 	ended   chan error
 }
 
-// start runs a balancer with one UDP service of the given agents.
+// start runs a balancer with one UDP service of n echoing agents.
 func start(t testing.TB, n int, opts ...fabric.Option) *bench {
-	x := &bench{reg: prometheus.NewRegistry(), ended: make(chan error, 1)}
+	var agents []*agent
+	var addrs []netip.AddrPort
+	for range n {
+		a := startAgent(t)
+		agents, addrs = append(agents, a), append(addrs, a.addr())
+	}
+	x := startWith(t, addrs, opts...)
+	x.agents = agents
+	return x
+}
+
+// startWith runs a balancer with one UDP service of the given agents, whose
+// handles count from 1.
+func startWith(t testing.TB, agents []netip.AddrPort, opts ...fabric.Option) *bench {
+	x := &bench{reg: prometheus.NewRegistry(), ended: make(chan error, 1), service: netip.AddrPortFrom(loopback(), 17443)}
 	u := &wire.Update{Whole: true, Revision: 1, NextHandle: nextHandle}
 	svc := service(1, wire.Protocol_PROTOCOL_UDP)
-	x.service = netip.AddrPortFrom(loopback(), 17443)
 	svc.Address = x.service.String()
 	u.Services = []*wire.Service{svc}
-	for i := range n {
-		a := startAgent(t)
-		x.agents = append(x.agents, a)
+	for i, a := range agents {
 		y := target(uint32(i+1), 1, "plaisance")
-		y.Agent = a.addr().String()
+		y.Agent = a.String()
 		u.Targets = append(u.Targets, y)
 	}
 	x.control = &control{update: u}
 	cfg := settings.Balancer{Name: "b", Zone: "plaisance", Address: x.service.Addr(), Data: netip.AddrPortFrom(x.service.Addr(), 0), Control: []netip.AddrPort{{}}}
-	opts = append([]fabric.Option{fabric.WithRegisterer(x.reg), fabric.WithLinger(100 * time.Millisecond)}, opts...)
+	opts = append([]fabric.Option{fabric.WithRegisterer(x.reg), fabric.WithGrace(0), fabric.WithLinger(100 * time.Millisecond)}, opts...)
 	var err error
 	x.Balancer, err = fabric.New(cfg, x.control, opts...)
 	qt.Assert(t, err, qt.IsNil)
@@ -201,8 +212,9 @@
 	return c
 }
 
-// Guards against packets that do not come back, and against crashes and lost
-// service after garbage, foreign services and oversized packets.
+// Guards against packets that do not come back, against crashes and lost service
+// after garbage, foreign services and oversized packets, and against replies that
+// others send in a target's name.
 func TestPacketsAndGarbage(t *testing.T) {
 	c := qt.New(t)
 	x := start(t, 3)
@@ -236,11 +248,13 @@
 		reply(&wire.Header{Kind: wire.Kind_KIND_REPLY, Service: 1}),
 		reply(&wire.Header{Kind: wire.Kind_KIND_REPLY, Service: 1, CallerPort: 1 << 20}),
 		reply(&wire.Header{Kind: wire.Kind_KIND_REPLY, Service: 77, CallerPort: 5}),
+		reply(&wire.Header{Kind: wire.Kind_KIND_REPLY, Service: 1, CallerPort: 5, Handle: 1}),
+		reply(&wire.Header{Kind: wire.Kind_KIND_REPLY, Service: 1, CallerPort: 5, Handle: 50}),
 	} {
 		_, err := raw.Write(b)
 		c.Assert(err, qt.IsNil)
 	}
-	eventually(t, func() bool { return x.metric("mangokeel_balancer_dropped_total") == 10 })
+	eventually(t, func() bool { return x.metric("mangokeel_balancer_dropped_total") == 12 })
 	echo()
 	c.Assert(x.metric("mangokeel_invariant_violations_total"), qt.Equals, 0.0)
 	_, err = json.Marshal(x.Dump())
@@ -307,21 +321,27 @@
 	l.Close()
 }
 
-// Guards against a planned stop that cuts connections before the drain time, and
-// one that waits beyond it.
+// Guards against a planned stop that refuses connections at once, one that accepts
+// them for ever, and one that cuts connections before the drain time or waits
+// beyond it.
 func TestStopDrains(t *testing.T) {
 	for _, x := range []struct {
 		drain time.Duration
 		ends  bool
-	}{{time.Minute, true}, {200 * time.Millisecond, false}} {
+	}{{time.Minute, true}, {300 * time.Millisecond, false}} {
 		t.Run(fmt.Sprint(x.drain), func(t *testing.T) {
 			c := qt.New(t)
-			b := start(t, 1, fabric.WithDrain(x.drain))
+			b := start(t, 1, fabric.WithGrace(100*time.Millisecond), fabric.WithDrain(x.drain))
 			conn := b.dial(t, "tcp")
 			_, err := conn.Write([]byte("x"))
 			c.Assert(err, qt.IsNil)
 			b.Stop()
-			time.Sleep(100 * time.Millisecond)
+			time.Sleep(50 * time.Millisecond)
+			late := b.dial(t, "tcp")
+			late.Close()
+			time.Sleep(150 * time.Millisecond)
+			_, err = net.Dial("tcp", b.service.String())
+			c.Assert(err, qt.IsNotNil)
 			_, err = io.ReadFull(conn, make([]byte, 1))
 			c.Assert(err, qt.IsNil)
 			udp := b.dial(t, "udp")
--- a/internal/flow/flow.go
+++ b/internal/flow/flow.go
@@ -86,6 +86,9 @@
 	ReasonOwner
 	// ReasonUnknown marks a connection ID that this agent's view cannot place.
 	ReasonUnknown
+	// ReasonFull marks a packet that would exceed the service's limit of
+	// connections for each target.
+	ReasonFull
 	// ReasonInvariant marks a decision that would break an invariant.
 	ReasonInvariant
 	reasons
@@ -94,7 +97,7 @@
 // String returns the reason's name.
 func (r Reason) String() string {
 	return [...]string{
-		"none", "service", "handle", "kind", "bucket", "chain", "hops", "owner", "unknown", "invariant",
+		"none", "service", "handle", "kind", "bucket", "chain", "hops", "owner", "unknown", "full", "invariant",
 	}[r]
 }
 
@@ -119,13 +122,15 @@
 	Hops uint32
 	// Next is this agent's position in Chain.
 	Next uint32
-	// Chain has the owner first. Empty means that this agent is the only member.
+	// Chain has the owner first, or the zero Hop when no target is eligible. Empty
+	// means that this agent is the only member and the owner.
 	// The table keeps the slice.
 	Chain []Hop
 	// Named is the handle in the payload's connection ID, or 0 when the payload
 	// has none that authenticates.
 	Named mangokeel.Handle
-	// Opens is true when the payload can open a flow.
+	// Opens is true when the payload can open a flow. Packets found by address
+	// that cannot are dropped.
 	Opens bool
 }
 
@@ -170,7 +175,7 @@
 	Upgraded uint64
 	// Fenced counts packets that a floor kept from this agent.
 	Fenced uint64
-	// Released counts buckets reported as released.
+	// Released counts buckets reported as released, once for each report.
 	Released uint64
 	// Violations counts decisions that would have broken an invariant.
 	Violations uint64
@@ -198,7 +203,7 @@
 }
 
 // floor is the epoch below which nothing is created in a bucket. The first
-// member of chain is never this agent.
+// member of chain is never this agent. It is the zero Hop when there was no owner.
 type floor struct {
 	epoch mangokeel.Epoch
 	chain []Hop
--- a/internal/replica/leader.go
+++ b/internal/replica/leader.go
@@ -81,6 +81,23 @@
 	}
 	c.beat = c.now
 	c.eachPeer(c.heartbeat)
+	c.announce()
+}
+
+// announce tells whatever runs at the addresses of former voters that the cluster
+// exists. Otherwise the machines of the first start could create a second one,
+// once all of them had lost their disks and been replaced by others, one by one.
+func (c *core) announce() {
+	if c.now.Sub(c.announced) < announceInterval {
+		return
+	}
+	c.announced = c.now
+	for _, a := range c.membership.GetFormer() {
+		to, err := netip.ParseAddrPort(a)
+		if err == nil {
+			c.send(to, &wire.VoteRequest{Phase: wire.Phase_PHASE_IDENTIFY, Cluster: c.meta.GetCluster(), From: c.id()})
+		}
+	}
 }
 
 // at is the inverse of nanos.
@@ -134,7 +151,7 @@
 func (c *core) sendEntries(p *peer, i uint64) {
 	var list []*wire.Entry
 	if i <= c.log.last() {
-		list = c.log.batch(i, batchBytes)
+		list = c.log.batch(i, c.opts.batchBytes)
 		p.busy = c.nanos()
 	}
 	t, _ := c.log.term(i - 1)
@@ -167,7 +184,7 @@
 		p.snapshot, p.offset = c.state, 0
 	}
 	s := p.snapshot
-	end := min(p.offset+snapshotPart, uint64(len(s.GetState())))
+	end := min(p.offset+uint64(c.opts.snapshotPart), uint64(len(s.GetState())))
 	p.busy = c.nanos()
 	m := &wire.SnapshotRequest{
 		Cluster:      c.meta.GetCluster(),
--- a/internal/roster/tree.go
+++ b/internal/roster/tree.go
@@ -2,8 +2,8 @@
 
 import (
 	"bytes"
+	"fmt"
 	"maps"
-	"regexp"
 	"slices"
 	"strings"
 
@@ -26,9 +26,6 @@
 	kindDrains   = "drains"
 )
 
-// name is what teams, services, availability zones and hosts may be called.
-const name = `[A-Za-z0-9][A-Za-z0-9._-]{0,62}`
-
 // team is one team's subtree.
 type team struct {
 	name string
@@ -90,7 +87,7 @@
 
 // change executes a change as a whole or not at all.
 func (s *step) change(c *wire.Change) *wire.Outcome {
-	if !nameOK(c.GetTeam()) {
+	if !settings.NameOK(c.GetTeam()) {
 		return refused(wire.Code_CODE_INVALID, c.GetTeam(), "not a team's name")
 	}
 	var present uint64
@@ -119,9 +116,26 @@
 			return nil, refused(code, it.GetPath(), reason)
 		}
 	}
+	if bad := m.checkBuckets(d); bad != nil {
+		return nil, bad
+	}
 	return d, m.checkAddresses(d)
 }
 
+// checkBuckets refuses another number of buckets for a service that exists.
+func (m *Machine) checkBuckets(d *draft) *wire.Outcome {
+	for _, path := range slices.Sorted(maps.Keys(d.services)) {
+		svc := m.services[m.index.paths[path]]
+		if svc == nil {
+			continue
+		}
+		if n := svc.record.GetBuckets(); n != d.services[path].BucketCount() {
+			return refused(wire.Code_CODE_INVALID, path, fmt.Sprintf("buckets: the service has %d for life", n))
+		}
+	}
+	return nil
+}
+
 // add checks one item. It returns a reason when the item is refused.
 func (d *draft) add(it *wire.Item) (wire.Code, string) {
 	team, kind, last, ok := SplitPath(it.GetPath())
@@ -210,7 +224,7 @@
 		svc := s.m.services[s.m.index.paths[path]]
 		if svc == nil {
 			_, _, last, _ := SplitPath(path)
-			svc = s.create(t.name, last, path)
+			svc = s.create(t.name, last, path, d.services[path].BucketCount())
 		}
 		s.configure(svc, d.services[path])
 	}
@@ -282,15 +296,10 @@
 	return t != nil && t.documents["/"+team+"/"+kindDrains+"/"+host] != ""
 }
 
-func nameOK(s string) bool {
-	ok, _ := regexp.MatchString("^"+name+"$", s)
-	return ok
-}
-
 // SplitPath splits /TEAM/KIND/NAME. It is false for any other form.
 func SplitPath(path string) (team, kind, last string, ok bool) {
 	parts := strings.Split(path, "/")
-	if len(parts) != 4 || parts[0] != "" || !nameOK(parts[1]) || !nameOK(parts[3]) {
+	if len(parts) != 4 || parts[0] != "" || !settings.NameOK(parts[1]) || !settings.NameOK(parts[3]) {
 		return "", "", "", false
 	}
 	if !slices.Contains([]string{kindServices, kindZones, kindDrains}, parts[2]) {
@@ -301,7 +310,7 @@
 
 // key issues or revokes a key.
 func (s *step) key(x *wire.KeyChange) *wire.Outcome {
-	if !nameOK(x.GetTeam()) || !nameOK(x.GetName()) {
+	if !settings.NameOK(x.GetTeam()) || !settings.NameOK(x.GetName()) {
 		return refused(wire.Code_CODE_INVALID, x.GetTeam(), "team and name are required")
 	}
 	t := s.m.team(x.GetTeam())
