agent, view: serve claims, report readiness and confirmation

Cause: claims need a listener of their own, control ends a joint home step only on the members' report, and members abstain without word from control. Change: agent.WithClaims serves a claim.Keeper on the port after the data port, reports Keeper.Ready with each poll and passes on the time of each answered poll (view.WithConfirmed). A leaving agent waits up to 15 s until the home has moved.

--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -3,6 +3,7 @@
 
 import (
 	"mangokeel/internal/agent"
+	"mangokeel/internal/claim"
 	"mangokeel/internal/jsonrpc"
 	"mangokeel/internal/process"
 	"mangokeel/internal/target"
@@ -15,12 +16,13 @@
 }
 
 func start(p *process.Process, cfg settings.Agent) error {
-	h, err := target.New(cfg.Target, target.WithLogger(p.Log), target.WithRegistry(p.Registry))
+	remote := jsonrpc.NewClient()
+	k := claim.NewKeeper(remote, claim.WithLogger(p.Log), claim.WithRegistry(p.Registry))
+	h, err := target.New(cfg.Target, target.WithLogger(p.Log), target.WithRegistry(p.Registry), target.WithClaims(k))
 	if err != nil {
 		return err
 	}
-	remote := jsonrpc.NewClient()
-	a, err := agent.New(cfg, remote, h, agent.WithLog(p.Log))
+	a, err := agent.New(cfg, remote, h, agent.WithLog(p.Log), agent.WithClaims(k))
 	if err != nil {
 		return err
 	}
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -23,7 +23,9 @@
 	"github.com/go-kit/log/level"
 
 	"mangokeel"
+	"mangokeel/internal/claim"
 	"mangokeel/internal/flow"
+	"mangokeel/internal/jsonrpc"
 	"mangokeel/internal/timer"
 	"mangokeel/internal/view"
 	"mangokeel/internal/wire"
@@ -60,6 +62,10 @@
 	// cert is nil when no files are set; there is no QUIC endpoint then.
 	cert *certificate
 
+	// claims is nil without WithClaims; calls serves it.
+	claims *claim.Keeper
+	calls  *jsonrpc.Server
+
 	udp      *net.UDPConn
 	streams  *streams
 	replies  *replies
@@ -120,7 +126,7 @@
 		a.receive()
 	}()
 	a.follower = view.NewFollower(&a.view, remote, cfg.Control, a.join(),
-		view.WithReport(a.report), view.WithChanged(a.changed), view.WithJoined(a.joined))
+		view.WithReport(a.report), view.WithChanged(a.changed), view.WithJoined(a.joined), view.WithConfirmed(a.confirmed))
 	return a, nil
 }
 
@@ -142,7 +148,7 @@
 	_ = a.udp.SetWriteBuffer(socketBuffer)
 	a.replies.conn = a.udp
 	a.streams = newStreams(l, a.counted(a.target), a.accepts)
-	return nil
+	return a.serveClaims(l)
 }
 
 // listen opens the TCP listener and the data socket on one port. Port 0 in the
@@ -307,7 +313,7 @@
 
 // report is what control learns with each poll.
 func (a *Agent) report() view.Report {
-	r := view.Report{Load: a.load()}
+	r := view.Report{Load: a.load(), Ready: a.ready()}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.reg == nil {
--- /dev/null
+++ b/internal/agent/claims.go
@@ -0,0 +1,62 @@
+package agent
+
+import (
+	"net"
+	"net/netip"
+	"time"
+
+	"github.com/cockroachdb/errors"
+
+	"mangokeel/internal/claim"
+	"mangokeel/internal/jsonrpc"
+)
+
+// homeWait bounds the time for which a leaving agent waits until the claim home
+// has moved, so that no claims are lost with it. Control needs about 2 s for that.
+const homeWait = 15 * time.Second
+
+// WithClaims makes the agent serve k's calls, report its readiness to control, and
+// tell it when control has confirmed the view.
+func WithClaims(k *claim.Keeper) Option { return func(a *Agent) { a.claims = k } }
+
+// serveClaims opens the listener for claims beside the data socket.
+func (a *Agent) serveClaims(l net.Listener) error {
+	if a.claims == nil {
+		return nil
+	}
+	data := netip.AddrPortFrom(a.cfg.Address.Addr(), l.Addr().(*net.TCPAddr).AddrPort().Port())
+	s, err := jsonrpc.Listen(claim.Address(data), a.claims.Methods())
+	if err != nil {
+		return errors.Wrap(err, "listen for claims")
+	}
+	a.calls = s
+	return nil
+}
+
+// ready returns the home epoch that is reported to control.
+func (a *Agent) ready() uint64 {
+	if a.claims == nil {
+		return 0
+	}
+	return a.claims.Ready()
+}
+
+// confirmed is called after each poll that control answered, with the time before
+// it.
+func (a *Agent) confirmed(at time.Time) {
+	if a.claims != nil {
+		a.claims.Confirm(at)
+	}
+}
+
+// holdsClaims reports whether a leaving agent has to wait for the home to move.
+func (a *Agent) holdsClaims(spent time.Duration) bool {
+	return a.claims != nil && a.claims.InHome() && spent < homeWait
+}
+
+func (a *Agent) closeClaims() {
+	if a.calls != nil {
+		a.calls.Close()
+		a.claims.Close()
+	}
+}
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -62,7 +62,7 @@
 			_ = level.Warn(a.log).Log("msg", "drain time passed", "flows", a.busy())
 			return
 		}
-		if spent >= settle && a.busy() == 0 {
+		if spent >= settle && a.busy() == 0 && !a.holdsClaims(spent) {
 			return
 		}
 		time.Sleep(drainPeriod)
@@ -109,6 +109,7 @@
 		reg.end("target left")
 	}
 	a.streams.close()
+	a.closeClaims()
 	a.udp.Close()
 	a.done.Wait()
 	a.target.Close()
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -184,10 +184,11 @@
 	return epoch
 }
 
-// InHome reports whether claims are held by this agent. An agent that leaves waits
-// for its end, within bounds, so that the home moves before the claims are gone.
+// InHome reports whether this agent and others hold claims. An agent that leaves
+// waits until it is false, within bounds, so that the home moves before the claims
+// are gone.
 func (k *Keeper) InHome() (in bool) {
-	k.locked(func() { in = k.member.in(k.home.Now) || k.member.in(k.home.Next) })
+	k.locked(func() { in = len(k.peers) > 1 && (k.member.in(k.home.Now) || k.member.in(k.home.Next)) })
 	return in
 }
 
--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -45,6 +45,8 @@
 	report  func() Report
 	changed func(*State)
 	joined  func(id uint32)
+	// confirmed is told the time before each poll that was answered.
+	confirmed func(at time.Time)
 
 	// id is 0 until the node has joined.
 	id atomic.Uint32
@@ -78,6 +80,13 @@
 	return func(f *Follower) { f.joined = fn }
 }
 
+// WithConfirmed sets a function that is called after each poll that control
+// answered, from one goroutine. at is the time before the poll: the view has
+// everything that a majority had accepted MaxAge before it.
+func WithConfirmed(fn func(at time.Time)) FollowerOption {
+	return func(f *Follower) { f.confirmed = fn }
+}
+
 // NewFollower starts to follow control for v. The incarnation of join is set
 // here. Close ends it.
 func NewFollower(v *View, remote mangokeel.Remote, control []netip.AddrPort, join *wire.JoinRequest, opts ...FollowerOption) *Follower {
@@ -90,8 +99,11 @@
 		report:  func() Report { return Report{} },
 		changed: func(*State) {},
 		joined:  func(uint32) {},
-		cancel:  cancel,
-		done:    make(chan struct{}),
+
+		confirmed: func(time.Time) {},
+
+		cancel: cancel,
+		done:   make(chan struct{}),
 	}
 	for _, o := range opts {
 		o(f)
@@ -209,6 +221,7 @@
 		Ready:       r.Ready,
 	}
 	var resp wire.SyncReply
+	at := time.Now()
 	f.polls.Add(1)
 	if err := f.remote.Call(ctx, addr, "sync", req, &resp); err != nil {
 		return false
@@ -232,5 +245,6 @@
 		case Unchanged:
 		}
 	}
+	f.confirmed(at)
 	return true
 }
