--- a/internal/agent/claims.go
+++ b/internal/agent/claims.go
@@ -12,8 +12,8 @@
 )
 
 // homeWait bounds the time for which a leaving agent waits until the claim home
-// has moved, so that no claims are lost with it. Control needs about 2 s for that.
-const homeWait = 15 * time.Second
+// has moved, so that no claims are lost with it. Control needs about 3 s for that.
+const homeWait = 8 * time.Second
 
 // WithClaims makes the agent serve k's calls, report its readiness to control, and
 // tell it when control has confirmed the view.
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -205,6 +205,7 @@
 	Hash  Hash
 	Owner mangokeel.Handle
 	home  Home
+	life  time.Duration
 	// until and end are a quarter and three quarters of the lifetime after New.
 	until, end time.Time
 	// parties are the homes of which a majority is needed: one, or two while the
@@ -230,7 +231,7 @@
 // that of claims in the service's settings.
 func New(now time.Time, lifetime time.Duration, home Home, k Key, hash Hash, owner mangokeel.Handle) *Claim {
 	c := &Claim{
-		Key: k, ID: NewID(), Hash: hash, Owner: owner, home: home,
+		Key: k, ID: NewID(), Hash: hash, Owner: owner, home: home, life: lifetime,
 		until: now.Add(lifetime / 4),
 		end:   now.Add(lifetime * 3 / 4),
 		votes: map[mangokeel.Handle]wire.Vote{},
@@ -259,6 +260,7 @@
 	return &wire.ClaimRequest{
 		Service: uint32(service), Member: uint32(member), Epoch: c.home.Epoch,
 		Key: c.Key[:], Id: c.ID[:], Hash: c.Hash[:], Owner: uint32(c.Owner),
+		LifeMs: uint32(c.life.Milliseconds()),
 	}
 }
 
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -87,6 +87,8 @@
 	// is not among peers has left.
 	newest   mangokeel.Handle
 	lifetime time.Duration
+	// others is set when another target of the service is serving.
+	others bool
 }
 
 // Option changes a Keeper.
@@ -164,7 +166,9 @@
 	k.home, k.self = home, own
 	k.member.SetHome(now, own, home)
 	k.peers = make(map[mangokeel.Handle]netip.AddrPort, len(s.Targets))
+	k.others = false
 	for h, t := range s.Targets {
+		k.others = k.others || h != own && t.GetState() == wire.State_STATE_SERVING
 		k.peers[h] = Address(t.Agent)
 		k.newest = max(k.newest, h)
 	}
@@ -184,11 +188,11 @@
 	return epoch
 }
 
-// InHome reports whether this agent and others hold claims. An agent that leaves
-// waits until it is false, within bounds, so that the home moves before the claims
-// are gone.
+// InHome reports whether this agent holds claims that others can take over. An
+// agent that leaves waits until it is false, within bounds, so that the home moves
+// before the claims are gone.
 func (k *Keeper) InHome() (in bool) {
-	k.locked(func() { in = len(k.peers) > 1 && (k.member.in(k.home.Now) || k.member.in(k.home.Next)) })
+	k.locked(func() { in = k.others && (k.member.in(k.home.Now) || k.member.in(k.home.Next)) })
 	return in
 }
 
--- a/internal/claim/member.go
+++ b/internal/claim/member.go
@@ -21,6 +21,8 @@
 	MaxAnswer = 64 << 10
 	// maxAnswers bounds all stored answers; the oldest are dropped first.
 	maxAnswers = 16 << 20
+	// maxLife bounds the lifetime that a claimer may ask for.
+	maxLife = 24 * time.Hour
 	// pageClaims and pageBytes bound one page of a copy.
 	pageClaims = 256
 	pageBytes  = 512 << 10
@@ -229,6 +231,10 @@
 	if !m.add(now, Key(r.GetKey()), a) {
 		return wire.Vote_VOTE_FULL
 	}
+	life := min(maxLife, time.Duration(r.GetLifeMs())*time.Millisecond)
+	if e = m.claims[Key(r.GetKey())]; now.Add(life).After(e.expires) {
+		e.expires = now.Add(life)
+	}
 	return wire.Vote_VOTE_GRANTED
 }
 
