--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -24,7 +24,9 @@
 
 	"mangokeel"
 	"mangokeel/internal/caller"
+	"mangokeel/internal/claim"
 	"mangokeel/internal/flow"
+	"mangokeel/internal/jsonrpc"
 	"mangokeel/internal/timer"
 	"mangokeel/internal/view"
 	"mangokeel/internal/wire"
@@ -63,6 +65,10 @@
 	// cert is nil when no files are set; there is no QUIC endpoint then.
 	cert *caller.Certificate
 
+	// claims is nil without WithClaims; calls serves it.
+	claims *claim.Keeper
+	calls  *jsonrpc.Server
+
 	udp      *net.UDPConn
 	streams  *caller.Streams
 	replies  *replies
@@ -124,7 +130,7 @@
 		a.receive()
 	}()
 	a.follower = view.NewFollower(&a.view, remote, cfg.Control, a.join(),
-		view.WithReport(a.report), view.WithChanged(a.changed), view.WithJoined(a.joined))
+		view.WithReport(a.report), view.WithChanged(a.changed), view.WithJoined(a.joined), view.WithConfirmed(a.confirmed))
 	return a, nil
 }
 
@@ -146,7 +152,7 @@
 	_ = a.udp.SetWriteBuffer(socketBuffer)
 	a.replies.conn = a.udp
 	a.streams = caller.NewStreams(l, a.counted(a.target), a.accepts)
-	return nil
+	return a.serveClaims(l)
 }
 
 // listen opens the TCP listener and the data socket on one port. Port 0 in the
@@ -337,7 +343,7 @@
 
 // report is what control learns with each poll.
 func (a *Agent) report() view.Report {
-	r := view.Report{Load: a.load()}
+	r := view.Report{Load: a.load(), Ready: a.ready()}
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	if a.reg == nil {
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -57,7 +57,7 @@
 			cancel()
 		}
 		spent := a.timers.Now().Sub(begin)
-		if spent >= settle && a.busy() == 0 {
+		if spent >= settle && a.busy() == 0 && !a.holdsClaims(spent) {
 			return
 		}
 		if limit := a.drainTime(); limit > 0 && spent >= limit {
@@ -109,6 +109,7 @@
 		reg.end("target left")
 	}
 	a.streams.Close()
+	a.closeClaims()
 	a.udp.Close()
 	a.done.Wait()
 	a.target.Close()
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -82,9 +82,13 @@
 	self    mangokeel.Handle
 	home    Home
 	peers   map[mangokeel.Handle]netip.AddrPort
-	// next is above every handle of the view; others are alive for all it knows.
-	next     mangokeel.Handle
+	// newest is the highest handle that the view has shown. The agent of a higher
+	// one is alive for all this one knows; handles rise, so that of a lower one that
+	// is not among peers has left.
+	newest   mangokeel.Handle
 	lifetime time.Duration
+	// others is set when another target of the service is serving.
+	others bool
 }
 
 // Option changes a Keeper.
@@ -139,9 +143,8 @@
 	fn()
 }
 
-// Update takes the service's record from a newer view, the view's next handle and
-// the agent's own handle.
-func (k *Keeper) Update(s *view.Service, next, own mangokeel.Handle) {
+// Update takes the service's record from a newer view and the agent's own handle.
+func (k *Keeper) Update(s *view.Service, own mangokeel.Handle) {
 	if s == nil {
 		return
 	}
@@ -160,11 +163,14 @@
 	if home.Epoch != k.home.Epoch {
 		_ = level.Info(k.log).Log("msg", "home changed", "epoch", home.Epoch, "joint", len(home.Next) > 0)
 	}
-	k.home, k.self, k.next = home, own, next
+	k.home, k.self = home, own
 	k.member.SetHome(now, own, home)
 	k.peers = make(map[mangokeel.Handle]netip.AddrPort, len(s.Targets))
+	k.others = false
 	for h, t := range s.Targets {
+		k.others = k.others || h != own && t.GetState() == wire.State_STATE_SERVING
 		k.peers[h] = Address(t.Agent)
+		k.newest = max(k.newest, h)
 	}
 }
 
@@ -182,6 +188,14 @@
 	return epoch
 }
 
+// InHome reports whether this agent holds claims that others can take over. An
+// agent that leaves waits until it is false, within bounds, so that the home moves
+// before the claims are gone.
+func (k *Keeper) InHome() (in bool) {
+	k.locked(func() { in = k.others && (k.member.in(k.home.Now) || k.member.in(k.home.Next)) })
+	return in
+}
+
 // Pending is the number of attempts whose end is still being told.
 func (k *Keeper) Pending() int { return int(k.spreading.Load()) }
 
@@ -198,7 +212,7 @@
 	k.mu.Lock()
 	defer k.mu.Unlock()
 	_, ok := k.peers[h]
-	return ok || h >= k.next
+	return ok || h > k.newest
 }
 
 // Claim asks the home of key for permission to run a request with the given hash.
