--- a/standin/system.sh
+++ b/standin/system.sh
@@ -31,7 +31,7 @@
   pid[$n]=$!
 }
 
-wait_for() { # URL
+wait_for() { # IP:PORT
   for _ in $(seq 100); do
     if (exec 3<>"/dev/tcp/${1%:*}/${1#*:}") 2>/dev/null; then return 0; fi
     sleep 0.1
@@ -69,6 +69,9 @@
   start_control "$i"
 done
 for a in "${control[@]}"; do wait_for "$a"; done
+for i in 1 2 3; do
+  kill -0 "${pid[control-$i]}" 2>/dev/null || { echo "$name: control-$i did not start; is another run on $net?" >&2; exit 1; }
+done
 
 # service TEAM NAME PORT ZONES RULES
 service() {
