replica: manual recovery from one disk, limit of uncommitted entries

Cause: the design promises recovery from one disk after the loss of a majority, and a leader with slow followers collected entries without limit. Change: Reform makes a stopped instance the only voter of a new cluster; Propose returns ErrBusy above 16,384 uncommitted entries; a test gathers the metrics and encodes the dump. Result: the tests pass with the race detector.

--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -22,6 +22,8 @@
 	firstTerm = 1
 	// announceInterval is well below the time that a machine takes to start.
 	announceInterval = 500 * time.Millisecond
+	// uncommittedLimit bounds the memory of a leader whose followers are slow.
+	uncommittedLimit = 1 << 14
 	// retryTimeout is the time after which entries or a snapshot part that were
 	// not answered are sent again.
 	retryTimeout = time.Second
@@ -408,11 +410,14 @@
 }
 
 // propose appends commands when the instance leads and returns the index of the
-// first one.
+// first one. After an error nothing was appended.
 func (c *core) propose(now time.Time, commands [][]byte) (first uint64, err error) {
 	c.observe(now)
-	if c.role != leader {
+	switch {
+	case c.role != leader:
 		return 0, mangokeel.ErrNotLeader
+	case c.log.last()-c.commit > uncommittedLimit:
+		return 0, ErrBusy
 	}
 	first = c.log.last() + 1
 	for _, b := range commands {
--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -188,3 +188,32 @@
 	b.append(2, 2, 2, 2, nil)
 	qt.Assert(t, b.e.core.eligible(), qt.IsFalse)
 }
+
+// Guards against a manual recovery that loses entries, and against an instance of
+// the old cluster that joins the new one.
+func TestReform(t *testing.T) {
+	b := newBench(t)
+	b.append(2, 1, 1, 0, nil, 2, 2)
+	cfg := Config{Name: "c0", Address: netip.MustParseAddrPort("127.0.0.1:1")}
+	qt.Assert(t, Reform(b.disk, cfg), qt.IsNil)
+	b.open()
+	qt.Assert(t, b.e.core.admit(1, "x", "c0"), qt.IsFalse)
+	b.now = b.now.Add(2 * maxElection)
+	b.e.core.tick(b.now)
+	qt.Assert(t, b.e.flush(), qt.IsNil)
+	qt.Assert(t, b.e.core.settled(), qt.IsTrue)
+	qt.Assert(t, b.e.applied, qt.Equals, uint64(5))
+	qt.Assert(t, b.e.core.membership.GetFormer(), qt.HasLen, 2)
+	qt.Assert(t, Reform(&disk.Fake{}, cfg), qt.ErrorIs, ErrMember)
+}
+
+// Guards against a leader that collects entries without end while no follower
+// confirms them.
+func TestUncommittedLimit(t *testing.T) {
+	b := newBench(t)
+	b.win()
+	_, err := b.e.core.propose(b.now, make([][]byte, uncommittedLimit))
+	qt.Assert(t, err, qt.IsNil)
+	_, err = b.e.core.propose(b.now, [][]byte{nil})
+	qt.Assert(t, err, qt.ErrorIs, ErrBusy)
+}
--- a/internal/replica/node_test.go
+++ b/internal/replica/node_test.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"encoding/binary"
+	"encoding/json"
 	"fmt"
 	"net/netip"
 	"os"
@@ -16,6 +17,7 @@
 
 	"github.com/cockroachdb/errors"
 	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
 	"google.golang.org/protobuf/proto"
 
 	"mangokeel"
@@ -330,3 +332,24 @@
 	})
 	b.ReportMetric(float64(b.N)/b.Elapsed().Seconds(), "commands/s")
 }
+
+// Guards against metrics that cannot be registered or a dump that cannot be
+// encoded, both of which show only at run time.
+func TestExposed(t *testing.T) {
+	c := qt.New(t)
+	reg := prometheus.NewRegistry()
+	list, _ := cluster(t, 1, replica.WithRegisterer(reg))
+	n := leading(t, list).node.Load()
+	families, err := reg.Gather()
+	c.Assert(err, qt.IsNil)
+	values := map[string]float64{}
+	for _, f := range families {
+		m := f.GetMetric()[0]
+		values[f.GetName()] = m.GetCounter().GetValue() + m.GetGauge().GetValue()
+	}
+	c.Assert(values["mangokeel_replica_leading"], qt.Equals, 1.0)
+	c.Assert(values["mangokeel_replica_leaderships_total"], qt.Equals, 1.0)
+	b, err := json.Marshal(n.Dump())
+	c.Assert(err, qt.IsNil)
+	c.Assert(string(b), qt.Contains, `"Role":"leader"`)
+}
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -52,6 +52,9 @@
 var (
 	// ErrClosed means that the instance was closed or has failed.
 	ErrClosed = errors.New("replica is closed")
+	// ErrBusy means that too many entries wait for a majority. The command was not
+	// appended.
+	ErrBusy = errors.New("too many entries await a majority")
 	// ErrDeposed means that the instance stopped leading before the outcome of a
 	// proposal was known.
 	ErrDeposed = errors.New("leadership ended, outcome unknown")
