replica: refuse another candidate only while logs are equal

The tie between pre-candidates compared the last index alone and for as long as an instance was a pre-candidate, so one with the lower id refused the only candidate with the later log for good. Change: the last term counts too, and only within a heartbeat interval.

--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -136,7 +136,9 @@
 	// heard is when the leader was last heard of, in this span.
 	heard    time.Time
 	deadline time.Time
-	ballots  map[string]ballot
+	// stood is when the instance last asked for pre-votes, in this span.
+	stood   time.Time
+	ballots map[string]ballot
 	// confirmed is a time in this span at which a majority confirmed commit.
 	confirmed time.Time
 
@@ -209,7 +211,7 @@
 	c.counts.backwards++
 	c.now, c.zero = now, now
 	c.span++
-	c.heard, c.confirmed = time.Time{}, time.Time{}
+	c.heard, c.confirmed, c.stood = time.Time{}, time.Time{}, time.Time{}
 	c.resetDeadline()
 	if c.role == leader {
 		c.follow(c.term(), "")
--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -217,3 +217,21 @@
 	_, err = b.e.core.propose(b.now, [][]byte{nil})
 	qt.Assert(t, err, qt.ErrorIs, ErrBusy)
 }
+
+// Guards against two candidates that refuse each other for good: one with the lower
+// id and one with the later log (seed 203387 of TestSchedules).
+func TestCandidateWithLaterLogIsNotRefused(t *testing.T) {
+	b := newBench(t)
+	b.now = b.now.Add(2 * maxElection)
+	b.e.core.tick(b.now)
+	pre := func(lastTerm uint64) bool {
+		return b.step(&wire.VoteRequest{
+			Phase: wire.Phase_PHASE_PRE, Cluster: "x", From: "c1", To: "c0", Term: 2, LastIndex: 1, LastTerm: lastTerm,
+		}).(*wire.VoteReply).GetGranted()
+	}
+	qt.Assert(t, b.e.core.role, qt.Equals, preCandidate)
+	qt.Assert(t, pre(1), qt.IsFalse)
+	qt.Assert(t, pre(2), qt.IsTrue)
+	b.now = b.now.Add(heartbeatInterval)
+	qt.Assert(t, pre(1), qt.IsTrue)
+}
--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -64,7 +64,7 @@
 	if !c.eligible() {
 		return
 	}
-	c.role = preCandidate
+	c.role, c.stood = preCandidate, c.now
 	c.canvass(wire.Phase_PHASE_PRE, c.term()+1)
 }
 
@@ -177,7 +177,9 @@
 // with an equal log and the lower id. If two went on, each with its own vote, both
 // would lose an election timeout.
 func (c *core) precedes(m *wire.VoteRequest) bool {
-	return c.role == preCandidate && m.GetLastIndex() == c.log.last() && c.id() < m.GetFrom()
+	same := m.GetLastIndex() == c.log.last() && m.GetLastTerm() == c.log.lastTerm()
+	recent := c.role == preCandidate && c.now.Sub(c.stood) < heartbeatInterval
+	return same && recent && c.id() < m.GetFrom()
 }
 
 func (c *core) handleVoteReply(m *wire.VoteReply) {
