--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -186,8 +186,9 @@
 // withdrawn at its members.
 type Outcome struct {
 	Verdict Verdict
-	// Until is the latest start for Run. The claim is forgotten later.
-	Until time.Time
+	// Until is the latest start and End the latest end for Run. The claim is
+	// forgotten later.
+	Until, End time.Time
 	// Answer is set for Stored.
 	Answer *wire.Answer
 	// Fenced means that a member knows a newer home.
@@ -204,7 +205,9 @@
 	Hash  Hash
 	Owner mangokeel.Handle
 	home  Home
-	until time.Time
+	life  time.Duration
+	// until and end are a quarter and three quarters of the lifetime after New.
+	until, end time.Time
 	// parties are the homes of which a majority is needed: one, or two while the
 	// home is joint.
 	parties [][]mangokeel.Handle
@@ -228,8 +231,9 @@
 // that of claims in the service's settings.
 func New(now time.Time, lifetime time.Duration, home Home, k Key, hash Hash, owner mangokeel.Handle) *Claim {
 	c := &Claim{
-		Key: k, ID: NewID(), Hash: hash, Owner: owner, home: home,
+		Key: k, ID: NewID(), Hash: hash, Owner: owner, home: home, life: lifetime,
 		until: now.Add(lifetime / 4),
+		end:   now.Add(lifetime * 3 / 4),
 		votes: map[mangokeel.Handle]wire.Vote{},
 		held:  map[ID]*other{},
 	}
@@ -256,6 +260,7 @@
 	return &wire.ClaimRequest{
 		Service: uint32(service), Member: uint32(member), Epoch: c.home.Epoch,
 		Key: c.Key[:], Id: c.ID[:], Hash: c.Hash[:], Owner: uint32(c.Owner),
+		LifeMs: uint32(c.life.Milliseconds()),
 	}
 }
 
@@ -273,7 +278,7 @@
 	case c.ran():
 	case c.won():
 		c.decided = true
-		return Outcome{Verdict: Run, Until: c.until}, true
+		return Outcome{Verdict: Run, Until: c.until, End: c.end}, true
 	case c.possible():
 		return Outcome{}, false
 	}
