control, roster: short held marks, and joins that cannot starve

Cause: a node that sent its join again after a failed try pushed its turn further out each time, up to 2 s, which is the caller's timeout: once two tries had failed, no join of that address got through any more. A test hung on it for 10 minutes. And a target's record had a bit for each of 4,096 buckets, its incarnation, and went out anew with each release.

Ruled out for the traffic: a longer pause between changes, because it delays changes; records in parts, because nodes would have to join them.

Change: a join sent again keeps its turn, and none waits longer than 1 s; held marks travel as Rice-coded gaps; incarnations stay at control; releases are proposed once a second.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -278,3 +278,26 @@
 	c.Assert(time.Since(start) < 500*time.Millisecond, qt.IsTrue)
 	c.Assert(reply.GetUpdate().GetTargets(), qt.Not(qt.HasLen), 0)
 }
+
+// Guards against a restarted instance that takes a node back to an older
+// revision, and against many updates for what the instance and the node missed.
+func TestInstanceThatMissedChanges(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(c, 2, timer.Real{})
+	k.set(0, operatorKey, "a", "sieste", 0, dispatch, document)
+	node := k.join(0, 1)
+	node.Revision = k.sync(1, node).GetUpdate().GetRevision()
+	k.with(func() { k.instances[1].frozen = true })
+	base := uint64(1)
+	for i := range 500 {
+		base = k.set(0, operatorKey, fmt.Sprint(i), "sieste", base, "/sieste/drains/host1", "reason: "+fmt.Sprint(i)+"\n").GetRevision()
+	}
+	newer := k.join(0, 2)
+	newer.Revision = k.sync(0, newer).GetUpdate().GetRevision()
+	c.Assert(k.sync(1, newer).GetCode(), qt.Equals, wire.Code_CODE_STALE)
+	k.with(func() { k.instances[1].frozen = false })
+	u := k.sync(1, node).GetUpdate()
+	c.Assert(u.GetRevision() >= base, qt.IsTrue)
+	c.Assert(u.GetTargets(), qt.HasLen, 2)
+	c.Assert(roster.Empty(k.sync(1, newer).GetUpdate()), qt.IsTrue)
+}
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -26,6 +26,9 @@
 	sweepGap = time.Second
 	// weightPeriod is the shortest time between two weights of one target.
 	weightPeriod = 2 * time.Second
+	// releasePeriod is how often releases are proposed. Each batch changes epochs,
+	// and so costs every balancer an update; chains may shrink a second later.
+	releasePeriod = time.Second
 	// weightChange is the smallest relative change of a weight that is proposed,
 	// because each one moves buckets.
 	weightChange = 0.2
@@ -157,7 +160,9 @@
 	// term is the one that since belongs to; 0 while not leading.
 	term  uint64
 	swept time.Time
-	nodes map[nodeKey]*nodeState
+	// released is when releases were proposed last.
+	released time.Time
+	nodes    map[nodeKey]*nodeState
 	// wanted has the homes that services should have and do not.
 	wanted map[uint32]wanted
 }
@@ -288,6 +293,7 @@
 	c.leases.mu.Lock()
 	defer c.leases.mu.Unlock()
 	weights := &wire.Weights{}
+	releasing := now.Sub(c.leases.released) >= releasePeriod
 	var out []*wire.Command
 	for k, n := range c.leases.nodes {
 		if k.role != agentRole {
@@ -304,10 +310,16 @@
 		if w, ok := n.weigh(now, t); ok {
 			weights.Weights = append(weights.Weights, w)
 		}
-		if n.release != nil && len(t.GetHeld()) > 0 {
+		if len(t.GetPacked()) == 0 {
+			n.release = nil
+		}
+		if n.release != nil && releasing {
 			out = append(out, &wire.Command{Body: &wire.Command_Release{Release: n.release}})
+			n.release = nil
 		}
-		n.release = nil
+	}
+	if len(out) > 0 {
+		c.leases.released = now
 	}
 	slices.SortFunc(weights.GetWeights(), func(a, b *wire.Weight) int { return cmp.Compare(a.GetHandle(), b.GetHandle()) })
 	if len(weights.GetWeights()) > 0 {
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -1,7 +1,6 @@
 package control
 
 import (
-	"bytes"
 	"context"
 	"sync"
 	"time"
@@ -15,12 +14,15 @@
 // that restarts in a loop does not fill the log.
 const joinPace = time.Second
 
+// maxPaced bounds the addresses kept before old ones are forgotten.
+const maxPaced = 1024
+
 func (c *Control) join(ctx context.Context, req *wire.JoinRequest) (*wire.JoinReply, error) {
 	addr := req.GetAgent()
 	if req.GetRole() == wire.Role_ROLE_BALANCER {
 		addr = req.GetData()
 	}
-	if d := c.joins.delay(addr, c.timers.Now()); d > 0 && !c.sleep(ctx, d) {
+	if d := c.joins.delay(addr, string(req.GetIncarnation()), c.timers.Now()); d > 0 && !c.sleep(ctx, d) {
 		return nil, ctx.Err()
 	}
 	result, err := c.queue.do(ctx, &wire.Command{Body: &wire.Command_Join{Join: req}})
@@ -75,22 +77,12 @@
 		c.metrics.stale.Inc()
 		return &wire.SyncReply{Code: wire.Code_CODE_STALE, AgeMs: c.age()}
 	}
-	if !c.known(req) {
+	if !c.machine.Known(req.GetRole(), req.GetId(), req.GetIncarnation()) {
 		return &wire.SyncReply{Code: wire.Code_CODE_UNKNOWN, AgeMs: c.age()}
 	}
 	return nil
 }
 
-// known reports whether the node is in the roster under its incarnation.
-func (c *Control) known(req *wire.SyncRequest) bool {
-	if req.GetRole() == wire.Role_ROLE_BALANCER {
-		b := c.machine.Balancer(req.GetId())
-		return b != nil && bytes.Equal(b.GetIncarnation(), req.GetIncarnation())
-	}
-	t := c.machine.Target(mangokeel.Handle(req.GetId()))
-	return t != nil && bytes.Equal(t.GetIncarnation(), req.GetIncarnation())
-}
-
 func (c *Control) serviceOf(req *wire.SyncRequest) mangokeel.ServiceID {
 	if req.GetRole() == wire.Role_ROLE_BALANCER {
 		return 0
@@ -108,38 +100,47 @@
 
 func (c *Control) age() uint32 { return uint32(c.log.Status().Age.Milliseconds()) }
 
-// pace spaces events of the same name.
+// pace spaces the joins of different incarnations at one address.
 type pace struct {
 	mu     sync.Mutex
 	period time.Duration
-	// next is the earliest time of the next event of each name.
-	next map[string]time.Time
+	last   map[string]turn
+}
+
+// turn is the latest incarnation at an address and when it may join.
+type turn struct {
+	incarnation string
+	at          time.Time
 }
 
 func newPace(period time.Duration) *pace {
-	return &pace{period: period, next: map[string]time.Time{}}
+	return &pace{period: period, last: map[string]turn{}}
 }
 
-// delay reserves the next event of a name and returns how long to wait for it.
-func (p *pace) delay(name string, now time.Time) time.Duration {
+// delay returns how long an incarnation has to wait, at most one period. A join
+// that is sent again takes the turn that it has: a wait that grew with each one
+// would outlast the callers' timeout.
+func (p *pace) delay(addr, incarnation string, now time.Time) time.Duration {
 	p.mu.Lock()
 	defer p.mu.Unlock()
-	if len(p.next) > 1024 {
+	if len(p.last) > maxPaced {
 		p.clean(now)
 	}
-	at := p.next[name]
-	if at.Before(now) {
-		at = now
+	t, ok := p.last[addr]
+	switch {
+	case !ok || now.Sub(t.at) >= p.period:
+		t = turn{incarnation, now}
+	case t.incarnation != incarnation:
+		t = turn{incarnation, minTime(t.at, now).Add(p.period)}
 	}
-	// A caller that gives up and calls again must not push its turn further out.
-	p.next[name] = minTime(at.Add(p.period), now.Add(2*p.period))
-	return at.Sub(now)
+	p.last[addr] = t
+	return t.at.Sub(now)
 }
 
 func (p *pace) clean(now time.Time) {
-	for n, at := range p.next {
-		if at.Before(now) {
-			delete(p.next, n)
+	for a, t := range p.last {
+		if now.Sub(t.at) >= p.period {
+			delete(p.last, a)
 		}
 	}
 }
--- a/internal/flow/chain_test.go
+++ b/internal/flow/chain_test.go
@@ -68,6 +68,7 @@
 
 type spanAgent struct {
 	host  int
+	start []byte // incarnation
 	table *flow.Table
 	at    int // index into states, -1 before the first
 	dead  bool
@@ -154,11 +155,12 @@
 	for _, a := range w.agents {
 		a.dead = a.dead || a.host == host
 	}
+	start := fmt.Append(nil, w.machine.Revision())
 	h := mangokeel.Handle(w.apply(&wire.Command{Body: &wire.Command_Join{Join: &wire.JoinRequest{
-		Role: wire.Role_ROLE_AGENT, Incarnation: fmt.Append(nil, w.machine.Revision()), Zone: []string{"plaisance", "ebene"}[host%2],
+		Role: wire.Role_ROLE_AGENT, Incarnation: start, Zone: []string{"plaisance", "ebene"}[host%2],
 		Service: spanPath, Host: fmt.Sprint("host-", host), Agent: agentOf(mangokeel.Handle(host)).String(), Target: fmt.Sprintf("127.0.0.1:%d", 2000+host),
 	}}}).GetJoin().GetId())
-	w.agents[h] = &spanAgent{host: host, at: -1, table: flow.New(flow.Config{Service: spanID, Handle: h, Protocol: w.protocol})}
+	w.agents[h] = &spanAgent{host: host, start: start, at: -1, table: flow.New(flow.Config{Service: spanID, Handle: h, Protocol: w.protocol})}
 	w.counts.changes++
 }
 
@@ -395,7 +397,7 @@
 	}
 	gone := t.GetState() == wire.State_STATE_LEAVING && !w.used(h)
 	w.apply(&wire.Command{Body: &wire.Command_Leave{Leave: &wire.LeaveRequest{
-		Role: wire.Role_ROLE_AGENT, Id: uint32(h), Incarnation: t.GetIncarnation(), Gone: gone,
+		Role: wire.Role_ROLE_AGENT, Id: uint32(h), Incarnation: w.agents[h].start, Gone: gone,
 	}}})
 	w.agents[h].dead = gone
 	w.counts.changes++
--- a/internal/roster/dump.go
+++ b/internal/roster/dump.go
@@ -1,11 +1,8 @@
 package roster
 
 import (
-	"encoding/hex"
 	"maps"
 	"slices"
-
-	"mangokeel/internal/bucket"
 )
 
 // Dump is the state for people. It has neither documents nor secrets.
@@ -32,13 +29,12 @@
 
 // TargetDump is one target of a ServiceDump.
 type TargetDump struct {
-	Handle      uint32 `json:"handle"`
-	Host        string `json:"host"`
-	Zone        string `json:"zone"`
-	Agent       string `json:"agent"`
-	State       string `json:"state"`
-	Weight      uint32 `json:"weight"`
-	Incarnation string `json:"incarnation"`
+	Handle uint32 `json:"handle"`
+	Host   string `json:"host"`
+	Zone   string `json:"zone"`
+	Agent  string `json:"agent"`
+	State  string `json:"state"`
+	Weight uint32 `json:"weight"`
 	// Owned and Held count buckets.
 	Owned int `json:"owned"`
 	Held  int `json:"held"`
@@ -71,12 +67,12 @@
 	for _, h := range slices.Sorted(maps.Keys(svc.targets)) {
 		t := svc.targets[h]
 		held := 0
-		for range bucket.Bitmap(t.GetHeld()).All {
+		for range svc.held[h].All {
 			held++
 		}
 		d.Targets = append(d.Targets, TargetDump{
 			Handle: t.GetHandle(), Host: t.GetHost(), Zone: t.GetZone(), Agent: t.GetAgent(), State: t.GetState().String(),
-			Weight: t.GetWeight(), Incarnation: hex.EncodeToString(t.GetIncarnation()), Owned: owned[t.GetHandle()], Held: held,
+			Weight: t.GetWeight(), Owned: owned[t.GetHandle()], Held: held,
 		})
 	}
 	return d
--- a/internal/roster/node.go
+++ b/internal/roster/node.go
@@ -40,7 +40,7 @@
 		return joinRefused(wire.Code_CODE_INVALID, "no service at "+x.GetService())
 	}
 	old, restarted := s.m.index.agents[x.GetAgent()]
-	if restarted && bytes.Equal(s.m.targets[old].GetIncarnation(), x.GetIncarnation()) {
+	if restarted && s.m.knownTarget(uint32(old), x.GetIncarnation()) {
 		return s.joined(uint32(old))
 	}
 	if h, taken := s.m.index.endpoints[x.GetTarget()]; taken && h != old {
@@ -58,12 +58,13 @@
 	s.m.nextHandle++
 	t := &wire.Target{
 		Handle: h, Service: svc.record.GetId(), Zone: x.GetZone(), Host: x.GetHost(), Agent: x.GetAgent(),
-		Target: x.GetTarget(), Incarnation: x.GetIncarnation(), Weight: coldWeight, State: wire.State_STATE_SERVING,
+		Target: x.GetTarget(), Weight: coldWeight, State: wire.State_STATE_SERVING,
 	}
 	if s.m.drained(svc.record.GetTeam(), x.GetHost()) {
 		t.State = wire.State_STATE_LEAVING
 	}
 	s.put(t)
+	s.m.targetStarts[h] = x.GetIncarnation()
 	s.m.index.agents[t.GetAgent()] = mangokeel.Handle(h)
 	s.m.index.endpoints[t.GetTarget()] = mangokeel.Handle(h)
 	s.moved[t.GetService()] = true
@@ -88,15 +89,16 @@
 		return joinRefused(wire.Code_CODE_INVALID, "data: not an address")
 	}
 	if old, ok := s.m.index.data[x.GetData()]; ok {
-		if bytes.Equal(s.m.balancers[old].GetIncarnation(), x.GetIncarnation()) {
+		if s.m.knownBalancer(old, x.GetIncarnation()) {
 			return s.joined(old)
 		}
 		s.dropBalancer(old)
 	}
 	id := s.m.nextBalancer
 	s.m.nextBalancer++
-	b := &wire.Balancer{Id: id, Data: x.GetData(), Zone: x.GetZone(), Incarnation: x.GetIncarnation(), Revision: s.revision}
+	b := &wire.Balancer{Id: id, Data: x.GetData(), Zone: x.GetZone(), Revision: s.revision}
 	s.balancers[id] = b
+	s.m.balancerStarts[id] = x.GetIncarnation()
 	s.m.balancers[id] = b
 	s.m.index.data[b.GetData()] = id
 	return s.joined(id)
@@ -112,14 +114,14 @@
 		return
 	}
 	delete(s.m.balancers, id)
+	delete(s.m.balancerStarts, id)
 	delete(s.m.index.data, b.GetData())
 	s.balancers[id] = &wire.Balancer{Id: id, Revision: s.revision, Gone: true}
 }
 
 func (s *step) leave(x *wire.LeaveRequest) *wire.Outcome {
 	if x.GetRole() == wire.Role_ROLE_BALANCER {
-		b := s.m.balancers[x.GetId()]
-		if b == nil || !bytes.Equal(b.GetIncarnation(), x.GetIncarnation()) {
+		if !s.m.knownBalancer(x.GetId(), x.GetIncarnation()) {
 			return refused(wire.Code_CODE_UNKNOWN, "", "not in the roster")
 		}
 		// A leaving balancer forwards until its connections have ended, and stays in
@@ -130,8 +132,7 @@
 		return accepted(s.revision)
 	}
 	h := mangokeel.Handle(x.GetId())
-	t := s.m.targets[h]
-	if t == nil || !bytes.Equal(t.GetIncarnation(), x.GetIncarnation()) {
+	if !s.m.knownTarget(x.GetId(), x.GetIncarnation()) {
 		return refused(wire.Code_CODE_UNKNOWN, "", "not in the roster")
 	}
 	if x.GetGone() {
@@ -181,15 +182,36 @@
 	if t == nil || x.GetEpoch() < t.GetHeldEpoch() {
 		return
 	}
-	held := bucket.Bitmap(bytes.Clone(t.GetHeld()))
+	svc := s.m.services[t.GetService()]
+	held, cleared := svc.held[h], false
 	for b := range bucket.Bitmap(x.GetBuckets()).All {
+		cleared = cleared || held.Has(b)
 		held = held.Without(b)
 	}
-	if bytes.Equal(held, t.GetHeld()) {
-		return
+	if cleared {
+		s.mark(svc, h, held)
+		s.chained[t.GetService()] = true
+	}
+}
+
+func (m *Machine) knownTarget(handle uint32, incarnation []byte) bool {
+	have, ok := m.targetStarts[handle]
+	return ok && bytes.Equal(have, incarnation)
+}
+
+func (m *Machine) knownBalancer(id uint32, incarnation []byte) bool {
+	have, ok := m.balancerStarts[id]
+	return ok && bytes.Equal(have, incarnation)
+}
+
+// Known reports whether a node is in the roster under an incarnation.
+func (m *Machine) Known(role wire.Role, id uint32, incarnation []byte) bool {
+	m.mu.RLock()
+	defer m.mu.RUnlock()
+	if role == wire.Role_ROLE_BALANCER {
+		return m.knownBalancer(id, incarnation)
 	}
-	s.target(h).Held = held
-	s.chained[t.GetService()] = true
+	return m.knownTarget(id, incarnation)
 }
 
 // Target returns the record of a live target, or nil.
--- a/internal/roster/random_test.go
+++ b/internal/roster/random_test.go
@@ -80,9 +80,8 @@
 	case 2:
 		w.apply(&wire.Command{Body: &wire.Command_Expire{Expire: &wire.Expire{Handles: []uint32{h}}}})
 	case 3:
-		t := w.Target(mangokeel.Handle(h))
 		gone := rapid.Bool().Draw(w.t, "gone")
-		w.apply(&wire.Command{Body: &wire.Command_Leave{Leave: &wire.LeaveRequest{Role: wire.Role_ROLE_AGENT, Id: h, Incarnation: t.GetIncarnation(), Gone: gone}}})
+		w.apply(&wire.Command{Body: &wire.Command_Leave{Leave: &wire.LeaveRequest{Role: wire.Role_ROLE_AGENT, Id: h, Incarnation: w.incarnations[h], Gone: gone}}})
 	case 4, 5, 6:
 		x := &wire.Weight{Handle: h, Weight: rapid.SampledFrom([]uint32{0, 32, 100, 256}).Draw(w.t, "weight")}
 		w.apply(&wire.Command{Body: &wire.Command_Weights{Weights: &wire.Weights{Weights: []*wire.Weight{x}}}})
--- a/internal/roster/roster.go
+++ b/internal/roster/roster.go
@@ -40,6 +40,9 @@
 	services  map[uint32]*service
 	targets   map[mangokeel.Handle]*wire.Target
 	balancers map[uint32]*wire.Balancer
+	// targetStarts and balancerStarts have the incarnations of the live nodes.
+	targetStarts   map[uint32][]byte
+	balancerStarts map[uint32][]byte
 	// announced has the targets that announced their own departure. The end of
 	// a drain does not return them to service.
 	announced map[mangokeel.Handle]bool
@@ -78,6 +81,8 @@
 	m.services = map[uint32]*service{}
 	m.targets = map[mangokeel.Handle]*wire.Target{}
 	m.balancers = map[uint32]*wire.Balancer{}
+	m.targetStarts = map[uint32][]byte{}
+	m.balancerStarts = map[uint32][]byte{}
 	m.announced = map[mangokeel.Handle]bool{}
 	m.index = index{
 		paths:     map[string]uint32{},
--- a/internal/roster/roster_test.go
+++ b/internal/roster/roster_test.go
@@ -17,9 +17,11 @@
 type driver struct {
 	*roster.Machine
 	revision mangokeel.Revision
+	// incarnations has those of the joined targets by handle.
+	incarnations map[uint32][]byte
 }
 
-func newDriver() *driver { return &driver{Machine: roster.New()} }
+func newDriver() *driver { return &driver{Machine: roster.New(), incarnations: map[uint32][]byte{}} }
 
 func (d *driver) apply(cmd *wire.Command) *wire.Result {
 	d.revision++
@@ -51,9 +53,11 @@
 }
 
 func (d *driver) join(host, zone, agent, target, incarnation string) *wire.JoinReply {
-	return d.apply(&wire.Command{Body: &wire.Command_Join{Join: &wire.JoinRequest{
+	reply := d.apply(&wire.Command{Body: &wire.Command_Join{Join: &wire.JoinRequest{
 		Role: wire.Role_ROLE_AGENT, Incarnation: []byte(incarnation), Zone: zone, Service: dispatch, Host: host, Agent: agent, Target: target,
 	}}}).GetJoin()
+	d.incarnations[reply.GetId()] = []byte(incarnation)
+	return reply
 }
 
 // enter adds host number i in a zone and returns its handle.
@@ -133,7 +137,7 @@
 	departing := mangokeel.Handle(d.enter(1, "ebene"))
 	drained := mangokeel.Handle(d.enter(2, "ebene"))
 	d.apply(&wire.Command{Body: &wire.Command_Leave{Leave: &wire.LeaveRequest{
-		Role: wire.Role_ROLE_AGENT, Id: uint32(departing), Incarnation: d.Target(departing).GetIncarnation(),
+		Role: wire.Role_ROLE_AGENT, Id: uint32(departing), Incarnation: d.incarnations[uint32(departing)],
 	}}})
 	d.force("sieste", "/sieste/drains/host1", "reason: x\n", "/sieste/drains/host2", "reason: x\n")
 	c.Assert(d.Target(drained).GetState(), qt.Equals, wire.State_STATE_LEAVING)
--- a/internal/roster/service.go
+++ b/internal/roster/service.go
@@ -19,6 +19,9 @@
 type service struct {
 	record  *wire.Service
 	targets map[mangokeel.Handle]*wire.Target
+	// held has the buckets that targets may hold without owning them. Records
+	// carry them packed.
+	held map[mangokeel.Handle]bucket.Bitmap
 	// table is always the one computed from record and targets after a step.
 	table bucket.Table
 	// journal has the records that agents of the service need.
@@ -38,6 +41,7 @@
 			Home:    &wire.Home{},
 		},
 		targets: map[mangokeel.Handle]*wire.Target{},
+		held:    map[mangokeel.Handle]bucket.Bitmap{},
 		table:   bucket.New(nil, buckets),
 		journal: &journal{tombs: maxServiceTombs},
 	}
@@ -92,8 +96,8 @@
 		switch {
 		case !was && is:
 			s.drop(h)
-		case was && !is && len(t.GetHeld()) > 0:
-			s.target(h).Held = nil
+		case was && !is:
+			s.mark(svc, h, nil)
 		}
 	}
 }
@@ -124,19 +128,28 @@
 	if t == nil || !slices.Contains(svc.record.GetZones(), t.GetZone()) {
 		return
 	}
-	t = s.target(h)
-	t.Held = bucket.Bitmap(t.GetHeld()).With(b)
-	t.HeldEpoch = s.revision
+	s.mark(svc, h, svc.held[h].With(b))
+	s.target(h).HeldEpoch = s.revision
 }
 
 // own clears the mark of a bucket for its owner.
 func (s *step) own(svc *service, h mangokeel.Handle, b uint32) {
-	if t := svc.targets[h]; t != nil && bucket.Bitmap(t.GetHeld()).Has(b) {
-		t = s.target(h)
-		t.Held = bucket.Bitmap(t.GetHeld()).Without(b)
+	if svc.held[h].Has(b) {
+		s.mark(svc, h, svc.held[h].Without(b))
 	}
 }
 
+// mark replaces the marks of a target. Its record gets them at the end of the
+// step.
+func (s *step) mark(svc *service, h mangokeel.Handle, held bucket.Bitmap) {
+	if len(held) == 0 && len(svc.held[h]) == 0 {
+		return
+	}
+	svc.held[h] = held
+	s.target(h)
+	s.marked[h] = true
+}
+
 // rehome moves the claim home one step. The first home needs no joint step. A
 // joint step whose next home lost a member continues with another next home,
 // which is safe because claims under both need a majority of the old one.
--- a/internal/roster/snapshot.go
+++ b/internal/roster/snapshot.go
@@ -20,7 +20,7 @@
 	defer m.mu.RUnlock()
 	x := &wire.RosterSnapshot{
 		Revision: m.revision, NextHandle: m.nextHandle, NextService: m.nextService, NextBalancer: m.nextBalancer,
-		Floor: m.all.floor,
+		Floor: m.all.floor, TargetIncarnations: m.targetStarts, BalancerIncarnations: m.balancerStarts,
 	}
 	for _, n := range slices.Sorted(maps.Keys(m.teams)) {
 		t := m.teams[n]
@@ -75,6 +75,8 @@
 	for _, h := range x.GetAnnounced() {
 		m.announced[mangokeel.Handle(h)] = true
 	}
+	maps.Copy(m.targetStarts, x.GetTargetIncarnations())
+	maps.Copy(m.balancerStarts, x.GetBalancerIncarnations())
 	m.restoreJournals(&x)
 	return nil
 }
@@ -91,7 +93,9 @@
 		if r.GetGone() {
 			continue
 		}
-		m.services[r.GetId()] = &service{record: r, targets: map[mangokeel.Handle]*wire.Target{}, journal: &journal{tombs: maxServiceTombs}}
+		m.services[r.GetId()] = &service{
+			record: r, targets: map[mangokeel.Handle]*wire.Target{}, held: map[mangokeel.Handle]bucket.Bitmap{}, journal: &journal{tombs: maxServiceTombs},
+		}
 		m.index.paths[pathOf(r)] = r.GetId()
 		m.index.addresses[r.GetAddress()] = r.GetId()
 	}
@@ -104,6 +108,9 @@
 			return errors.Mark(errors.Newf("target %d has no service", h), mangokeel.ErrCorrupt)
 		}
 		m.targets[h], svc.targets[h] = t, t
+		if held := bucket.Unpack(t.GetPacked()); len(held) > 0 {
+			svc.held[h] = held
+		}
 		m.index.agents[t.GetAgent()], m.index.endpoints[t.GetTarget()] = h, h
 	}
 	for _, b := range x.GetBalancers() {
--- a/internal/roster/step.go
+++ b/internal/roster/step.go
@@ -23,6 +23,8 @@
 	services map[uint32]*wire.Service
 	// balancers has the new records and tombstones.
 	balancers map[uint32]*wire.Balancer
+	// marked has the targets whose held buckets changed.
+	marked map[mangokeel.Handle]bool
 	// moved has the services whose table may have changed.
 	moved map[uint32]bool
 	// chained has the services whose chains changed whatever the table.
@@ -37,6 +39,7 @@
 		targets:   map[mangokeel.Handle]*wire.Target{},
 		services:  map[uint32]*wire.Service{},
 		balancers: map[uint32]*wire.Balancer{},
+		marked:    map[mangokeel.Handle]bool{},
 		moved:     map[uint32]bool{},
 		chained:   map[uint32]bool{},
 	}
@@ -84,11 +87,14 @@
 	}
 	delete(s.m.targets, h)
 	delete(s.m.announced, h)
+	delete(s.m.targetStarts, t.GetHandle())
 	s.m.index.forget(t)
 	id := t.GetService()
-	delete(s.m.services[id].targets, h)
+	svc := s.m.services[id]
 	s.moved[id] = true
-	s.chained[id] = s.chained[id] || len(t.GetHeld()) > 0
+	s.chained[id] = s.chained[id] || len(svc.held[h]) > 0
+	delete(svc.targets, h)
+	delete(svc.held, h)
 	s.targets[h] = &wire.Target{Handle: t.GetHandle(), Service: id, Revision: s.revision, Gone: true}
 }
 
@@ -99,6 +105,11 @@
 			s.retable(svc)
 		}
 	}
+	for h := range s.marked {
+		if t := s.targets[h]; !t.GetGone() {
+			t.Packed = s.m.services[t.GetService()].held[h].Pack()
+		}
+	}
 	for id := range s.chained {
 		if svc := s.m.services[id]; svc != nil && s.chained[id] {
 			s.service(svc).Epoch = s.revision
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -213,12 +213,20 @@
 		Handle: h,
 		Agent:  agent,
 		Open:   slices.Contains(s.GetZones(), t.GetZone()),
-		Held:   t.GetHeld(),
+		Held:   heldOf(t),
 	}
 	s.Targets[h] = n
 	return n
 }
 
+// heldOf returns the buckets in which t may hold flows.
+func heldOf(t *wire.Target) bucket.Bitmap {
+	if len(t.GetPacked()) > 0 {
+		return bucket.Unpack(t.GetPacked())
+	}
+	return t.GetHeld()
+}
+
 func keysOf(x *wire.Service) *cid.Keys {
 	secrets := make([]cid.Secret, 0, len(x.GetSecrets()))
 	for _, k := range x.GetSecrets() {
