--- a/cmd/mangokeel/client.go
+++ b/cmd/mangokeel/client.go
@@ -84,17 +84,19 @@
 	defer cancel()
 	remote := jsonrpc.NewClient()
 	defer remote.Close()
-	var last error
 	for {
+		var worst error
 		for _, a := range instances {
 			proto.Reset(resp)
-			if last = c.try(ctx, remote, a, method, req, resp, code); !again(last) {
-				return last
+			err := c.try(ctx, remote, a, method, req, resp, code)
+			if !again(err) {
+				return err
 			}
+			worst = worse(worst, err)
 		}
 		select {
 		case <-ctx.Done():
-			return last
+			return worst
 		case <-time.After(roundPause):
 		}
 	}
@@ -113,6 +115,27 @@
 	return &outcomeError{x.GetCode(), describe(x)}
 }
 
+// worse returns the error that says more about what may have happened: an unknown
+// outcome before a stale answer before a call that was not sent.
+func worse(a, b error) error {
+	rank := func(err error) int {
+		var outcome *outcomeError
+		switch {
+		case err == nil:
+			return 0
+		case errors.Is(err, mangokeel.ErrNotSent):
+			return 1
+		case errors.As(err, &outcome):
+			return 2
+		}
+		return 3
+	}
+	if rank(b) > rank(a) {
+		return b
+	}
+	return a
+}
+
 // again reports whether another instance may give a better answer.
 func again(err error) bool {
 	if err == nil {
--- a/cmd/mangokeel/commands.go
+++ b/cmd/mangokeel/commands.go
@@ -42,7 +42,7 @@
 func (c *client) commands() []command {
 	return []command{
 		{"get", "print documents", "Prints the documents at and below a path.", &getCommand{c: c}},
-		{"set", "change documents in one step", "Sets one or several documents of one team in one step.\n\nAn item is PATH=@FILE, PATH=YAML, PATH= to delete the document, or one PATH with --file. Without any item, --file maps paths to documents.", &setCommand{c: c}},
+		{"set", "change documents in one step", "Sets one or several documents of one team in one step.\n\nAn item is PATH=@FILE, PATH=YAML, PATH= to delete the document, or one PATH with --file. Without any item, --file maps paths to documents; those of several teams take one step for each team.", &setCommand{c: c}},
 		{"diff", "compare two revisions", "Prints the paths of a team that differ between two revisions.", &diffCommand{c: c}},
 		{"history", "list accepted changes", "Lists the accepted changes of a team.", &historyCommand{c: c}},
 		{"watch", "follow accepted changes", "Prints the accepted changes of a team as they happen, until interrupted.", &watchCommand{c: c}},
@@ -59,18 +59,23 @@
 }
 
 type getCommand struct {
-	c    *client
-	Args struct {
-		Path string `positional-arg-name:"PATH" description:"/TEAM or a path below it"`
+	c     *client
+	Map   bool `long:"map" description:"print a map from paths to documents, the form that set --file takes"`
+	Stale bool `long:"stale" description:"accept an answer without a majority (operators' key only)"`
+	Args  struct {
+		Path string `positional-arg-name:"PATH" description:"/TEAM or a path below it, or / for all teams"`
 	} `positional-args:"yes" required:"yes"`
 }
 
 // Execute implements flags.Commander.
 func (x *getCommand) Execute([]string) error {
-	resp, err := x.c.get(x.Args.Path)
+	resp, err := x.c.read(&wire.GetRequest{Path: x.Args.Path, Stale: x.Stale})
 	if err != nil {
 		return err
 	}
+	if x.Map {
+		return printMap(x.c.out, resp.GetItems())
+	}
 	return x.c.print(resp, func(w io.Writer) {
 		fmt.Fprintf(w, "# revision %d\n", resp.GetRevision())
 		for _, it := range resp.GetItems() {
@@ -79,13 +84,37 @@
 	})
 }
 
+// printMap writes documents as one YAML map.
+func printMap(w io.Writer, items []*wire.Item) error {
+	root := &yaml.Node{Kind: yaml.MappingNode}
+	for _, it := range items {
+		var doc yaml.Node
+		if err := yaml.Unmarshal([]byte(it.GetValue()), &doc); err != nil {
+			return errors.Wrap(err, it.GetPath())
+		}
+		key := &yaml.Node{Kind: yaml.ScalarNode, Value: it.GetPath()}
+		root.Content = append(root.Content, key, doc.Content[0])
+	}
+	b, err := yaml.Marshal(root)
+	if err != nil {
+		return errors.Wrap(err, "encode documents")
+	}
+	_, err = w.Write(b)
+	return err
+}
+
 func (c *client) get(path string) (*wire.GetReply, error) {
+	return c.read(&wire.GetRequest{Path: path})
+}
+
+func (c *client) read(req *wire.GetRequest) (*wire.GetReply, error) {
 	key, err := c.key()
 	if err != nil {
 		return nil, err
 	}
+	req.Key = key
 	var resp wire.GetReply
-	err = c.call("get", &wire.GetRequest{Key: key, Path: path}, &resp, func() coded { return &resp })
+	err = c.call("get", req, &resp, func() coded { return &resp })
 	return &resp, err
 }
 
@@ -106,6 +135,36 @@
 	if err != nil {
 		return err
 	}
+	teams := byTeam(items)
+	if len(teams) > 1 && (x.Base != nil || x.ID != "") {
+		return &flags.Error{Type: flags.ErrRequired, Message: "set: --base and --id need the documents of one team"}
+	}
+	for _, part := range teams {
+		if err := x.send(part); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
+// byTeam splits documents into one step for each team.
+func byTeam(items []*wire.Item) [][]*wire.Item {
+	var out [][]*wire.Item
+	at := map[string]int{}
+	for _, it := range items {
+		team := roster.TeamOf(it.GetPath())
+		i, ok := at[team]
+		if !ok {
+			i = len(out)
+			at[team] = i
+			out = append(out, nil)
+		}
+		out[i] = append(out[i], it)
+	}
+	return out
+}
+
+func (x *setCommand) send(items []*wire.Item) error {
 	change := &wire.Change{Id: x.ID, Team: roster.TeamOf(items[0].GetPath()), Items: items}
 	if x.Base == nil {
 		now, err := x.c.get("/" + change.GetTeam())
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -34,6 +34,8 @@
 	weightChange = 0.2
 	// maxWeight is the weight of a target that can bear its full share.
 	maxWeight = 256
+	// lagAge is the time within which a change should be in force everywhere.
+	lagAge = 2 * time.Second
 	// maxExpire bounds the nodes removed by one command.
 	maxExpire = 512
 )
@@ -163,6 +165,11 @@
 	// released is when releases were proposed last.
 	released time.Time
 	nodes    map[nodeKey]*nodeState
+	// mark and next are revisions of at least one and of less than one lagAge ago.
+	mark, next uint64
+	marked     time.Time
+	// lagging counts the nodes that do not have mark in force.
+	lagging int
 	// wanted has the homes that services should have and do not.
 	wanted map[uint32]wanted
 }
@@ -218,7 +225,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !st.Leading {
-		l.term = 0
+		l.term, l.lagging = 0, 0
 		clear(l.nodes)
 		return false
 	}
@@ -235,6 +242,7 @@
 	if !c.leases.begin(now, c.log.Status()) {
 		return
 	}
+	c.leases.lag(now, uint64(c.machine.Revision()))
 	batch := &wire.CommandBatch{}
 	batch.Commands = append(batch.Commands, c.ended(now)...)
 	batch.Commands = append(batch.Commands, c.loads(now)...)
@@ -247,6 +255,21 @@
 	}
 }
 
+// lag counts the nodes that lag.
+func (l *leases) lag(now time.Time, revision uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.marked) >= lagAge {
+		l.mark, l.next, l.marked = l.next, revision, now
+	}
+	l.lagging = 0
+	for _, n := range l.nodes {
+		if n.revision < l.mark {
+			l.lagging++
+		}
+	}
+}
+
 // ended returns the command that removes the nodes whose lease ended, or none.
 func (c *Control) ended(now time.Time) []*wire.Command {
 	x := &wire.Expire{}
--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -7,8 +7,10 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+	"github.com/prometheus/client_golang/prometheus"
 
 	"mangokeel"
+	"mangokeel/internal/control"
 	"mangokeel/internal/timer"
 	"mangokeel/internal/wire"
 )
@@ -142,11 +144,27 @@
 	c.Assert(len(x.entries)-before <= 10, qt.IsTrue, qt.Commentf("%d entries", len(x.entries)-before))
 }
 
+// gauge returns the value of a metric.
+func gauge(c *qt.C, r *prometheus.Registry, name string) float64 {
+	c.Helper()
+	families, err := r.Gather()
+	c.Assert(err, qt.IsNil)
+	for _, f := range families {
+		if f.GetName() == name {
+			return f.GetMetric()[0].GetGauge().GetValue()
+		}
+	}
+	c.Fatalf("no metric %s", name)
+	return 0
+}
+
 // Guards against a wait that ends before all nodes have a revision in force, or
 // that does not name the node that lags.
 func TestWaitNamesLaggingNodes(t *testing.T) {
 	c := qt.New(t)
 	x := newClock(c, 2)
+	registry := prometheus.NewRegistry()
+	control.WithRegistry(registry)(x.instances[0].control)
 	x.set(0, operatorKey, "a", "sieste", 0, dispatch, document)
 	node := x.enter(0, 1)
 	x.run(500*time.Millisecond, 1, node)
@@ -157,12 +175,15 @@
 		})
 		return resp
 	}
+	x.run(4500*time.Millisecond, 1, node)
+	c.Assert(gauge(c, registry, "mangokeel_control_lagging"), qt.Equals, 1.0)
 	lagging := wait().GetLagging()
 	c.Assert(lagging, qt.HasLen, 1)
 	c.Assert(lagging[0].GetHost(), qt.Equals, "host1")
 	node.Revision = x.sync(1, node).GetUpdate().GetRevision()
 	x.run(500*time.Millisecond, 1, node)
 	c.Assert(wait().GetLagging(), qt.HasLen, 0)
+	c.Assert(gauge(c, registry, "mangokeel_control_lagging"), qt.Equals, 0.0)
 }
 
 // Guards against many log entries for nodes that restart in a loop or at once.
--- a/internal/control/metrics.go
+++ b/internal/control/metrics.go
@@ -53,6 +53,11 @@
 			}
 			return 0
 		}),
+		gauge("lagging", "Nodes that do not have a revision in force that is 2 s old, on the leader.", func() float64 {
+			c.leases.mu.Lock()
+			defer c.leases.mu.Unlock()
+			return float64(c.leases.lagging)
+		}),
 		gauge("targets", "Targets in the roster.", func() float64 { return float64(len(c.machine.Targets())) }),
 		gauge("balancers", "Balancers in the roster.", func() float64 { return float64(len(c.machine.Balancers())) }),
 	)
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -52,11 +52,14 @@
 }
 
 func (c *Control) get(_ context.Context, req *wire.GetRequest) (*wire.GetReply, error) {
-	if _, code, reason := c.admit(req.GetKey(), roster.TeamOf(req.GetPath())); reason != "" {
-		return &wire.GetReply{Code: code, Reason: reason}, nil
+	_, operator := c.author(req.GetKey(), "")
+	if !operator || !req.GetStale() {
+		if _, code, reason := c.admit(req.GetKey(), roster.TeamOf(req.GetPath())); reason != "" {
+			return &wire.GetReply{Code: code, Reason: reason}, nil
+		}
 	}
 	items, r := c.machine.Get(req.GetPath())
-	return &wire.GetReply{Code: wire.Code_CODE_ACCEPTED, Revision: r, Items: items}, nil
+	return &wire.GetReply{Code: wire.Code_CODE_ACCEPTED, Revision: r, Items: items, AgeMs: c.age()}, nil
 }
 
 func (c *Control) set(ctx context.Context, req *wire.SetRequest) (*wire.SetReply, error) {
--- a/internal/roster/tree.go
+++ b/internal/roster/tree.go
@@ -352,20 +352,31 @@
 }
 
 // Get returns the documents at and below a path in order of their paths, and the
-// revision of the team's subtree.
+// revision of the team's subtree. The path / has the documents of all teams and
+// the revision of the state.
 func (m *Machine) Get(path string) (items []*wire.Item, revision uint64) {
 	m.mu.RLock()
 	defer m.mu.RUnlock()
+	if path == "/" {
+		for _, n := range slices.Sorted(maps.Keys(m.teams)) {
+			items = append(items, m.teams[n].below("/"+n)...)
+		}
+		return items, m.revision
+	}
 	t := m.teams[TeamOf(path)]
 	if t == nil {
 		return nil, 0
 	}
+	return t.below(path), t.revision
+}
+
+func (t *team) below(path string) (items []*wire.Item) {
 	for _, p := range slices.Sorted(maps.Keys(t.documents)) {
 		if p == path || strings.HasPrefix(p, strings.TrimSuffix(path, "/")+"/") {
 			items = append(items, &wire.Item{Path: p, Value: t.documents[p]})
 		}
 	}
-	return items, t.revision
+	return items
 }
 
 // TeamOf returns the team that a path begins with.
