jsonrpc, settings: TLS between processes and to operators

Cause: calls were not encrypted, and any process on the network could make them. Host names are not checked, because processes are called by address.

Result: a caller without a certificate or with one of another authority is refused, and a renewed authority is used without a restart (test).

--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -16,13 +16,17 @@
 }
 
 func start(p *process.Process, cfg settings.Agent) error {
-	remote := jsonrpc.NewClient(jsonrpc.WithRegisterer(p.Registry))
+	calls, err := process.Calls(cfg.TLS)
+	if err != nil {
+		return err
+	}
+	remote := jsonrpc.NewClient(append(calls, jsonrpc.WithRegisterer(p.Registry))...)
 	k := claim.NewKeeper(remote, claim.WithLogger(p.Log), claim.WithRegistry(p.Registry))
 	h, err := target.New(cfg.Target, target.WithLogger(p.Log), target.WithRegistry(p.Registry), target.WithClaims(k))
 	if err != nil {
 		return err
 	}
-	a, err := agent.New(cfg, remote, h, agent.WithLog(p.Log), agent.WithClaims(k))
+	a, err := agent.New(cfg, remote, h, agent.WithLog(p.Log), agent.WithClaims(k, calls...))
 	if err != nil {
 		return err
 	}
--- a/cmd/balancer/main.go
+++ b/cmd/balancer/main.go
@@ -12,7 +12,11 @@
 func main() {
 	var cfg settings.Balancer
 	process.Main("balancer", &cfg, func(p *process.Process) error {
-		remote := jsonrpc.NewClient(jsonrpc.WithRegisterer(p.Registry))
+		calls, err := process.Calls(cfg.TLS)
+		if err != nil {
+			return err
+		}
+		remote := jsonrpc.NewClient(append(calls, jsonrpc.WithRegisterer(p.Registry))...)
 		b, err := fabric.New(cfg, remote, fabric.WithLogger(p.Log), fabric.WithRegisterer(p.Registry))
 		if err != nil {
 			return err
--- a/cmd/control/main.go
+++ b/cmd/control/main.go
@@ -25,7 +25,11 @@
 		return err
 	}
 	machine := roster.New()
-	remote := jsonrpc.NewClient(jsonrpc.WithRegisterer(p.Registry))
+	calls, err := process.Calls(cfg.TLS)
+	if err != nil {
+		return err
+	}
+	remote := jsonrpc.NewClient(append(calls, jsonrpc.WithRegisterer(p.Registry))...)
 	node, err := replica.New(replicaConfig(cfg), machine, folder, remote, timer.Real{}, replica.WithLogger(p.Log), replica.WithRegisterer(p.Registry))
 	if err != nil {
 		return err
@@ -34,7 +38,7 @@
 		control.WithLogger(p.Log), control.WithRegistry(p.Registry), control.WithMembers(node))
 	methods := c.Methods()
 	maps.Copy(methods, node.Methods())
-	srv, err := jsonrpc.Listen(cfg.Address, methods)
+	srv, err := jsonrpc.Listen(cfg.Address, methods, calls...)
 	if err != nil {
 		return err
 	}
--- a/cmd/mangokeel/client.go
+++ b/cmd/mangokeel/client.go
@@ -16,7 +16,9 @@
 
 	"mangokeel"
 	"mangokeel/internal/jsonrpc"
+	"mangokeel/internal/process"
 	"mangokeel/internal/wire"
+	"mangokeel/pkg/settings"
 )
 
 const (
@@ -31,6 +33,9 @@
 type options struct {
 	Control string        `short:"c" long:"control" env:"MANGOKEEL_CONTROL" value-name:"IP:PORT,..." description:"control instances"`
 	Key     string        `short:"k" long:"key" env:"MANGOKEEL_KEY" value-name:"FILE" description:"file with a team's key or the operators' key"`
+	Cert    string        `long:"cert" env:"MANGOKEEL_CERT" value-name:"FILE" description:"certificate for TLS, with --cert-key and --ca"`
+	CertKey string        `long:"cert-key" env:"MANGOKEEL_CERT_KEY" value-name:"FILE" description:"key of the certificate"`
+	CA      string        `long:"ca" env:"MANGOKEEL_CA" value-name:"FILE" description:"certificate authority of the system"`
 	JSON    bool          `long:"json" description:"print JSON"`
 	Timeout time.Duration `long:"timeout" default:"20s" value-name:"DURATION" description:"limit for the whole command"`
 }
@@ -51,6 +56,12 @@
 	return strings.TrimSpace(string(b)), errors.Wrap(err, "read key")
 }
 
+// remote returns a client for calls, with TLS when the files for it are known.
+func (c *client) remote() (*jsonrpc.Client, error) {
+	opts, err := process.Calls(settings.TLS{Cert: c.Cert, Key: c.CertKey, CA: c.CA})
+	return jsonrpc.NewClient(opts...), err
+}
+
 func (c *client) instances() ([]netip.AddrPort, error) {
 	if c.Control == "" {
 		return nil, errors.New("no control instance is known; use --control or MANGOKEEL_CONTROL")
@@ -82,7 +93,10 @@
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, c.Timeout)
 	defer cancel()
-	remote := jsonrpc.NewClient()
+	remote, err := c.remote()
+	if err != nil {
+		return err
+	}
 	defer remote.Close()
 	for {
 		var worst error
--- a/cmd/mangokeel/status.go
+++ b/cmd/mangokeel/status.go
@@ -11,7 +11,6 @@
 
 	"github.com/cockroachdb/errors"
 
-	"mangokeel/internal/jsonrpc"
 	"mangokeel/internal/wire"
 )
 
@@ -40,7 +39,10 @@
 	if err != nil {
 		return nil, err
 	}
-	remote := jsonrpc.NewClient()
+	remote, err := c.remote()
+	if err != nil {
+		return nil, err
+	}
 	defer remote.Close()
 	var out []*wire.StatusReply
 	answers := 0
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -67,7 +67,9 @@
 
 	// claims is nil without WithClaims; calls serves it.
 	claims *claim.Keeper
-	calls  *jsonrpc.Server
+	// callOptions are those of the listener for claims.
+	callOptions []jsonrpc.Option
+	calls       *jsonrpc.Server
 
 	udp      *net.UDPConn
 	streams  *caller.Streams
--- a/internal/agent/claims.go
+++ b/internal/agent/claims.go
@@ -15,9 +15,11 @@
 // has moved, so that no claims are lost with it. Control needs about 3 s for that.
 const homeWait = 8 * time.Second
 
-// WithClaims makes the agent serve k's calls, report its readiness to control, and
-// tell it when control has confirmed the view.
-func WithClaims(k *claim.Keeper) Option { return func(a *Agent) { a.claims = k } }
+// WithClaims makes the agent serve k's calls with the given options, report its
+// readiness to control, and tell it when control has confirmed the view.
+func WithClaims(k *claim.Keeper, opts ...jsonrpc.Option) Option {
+	return func(a *Agent) { a.claims, a.callOptions = k, opts }
+}
 
 // serveClaims opens the listener for claims beside the data socket.
 func (a *Agent) serveClaims(l net.Listener) error {
@@ -25,7 +27,7 @@
 		return nil
 	}
 	data := netip.AddrPortFrom(a.cfg.Address.Addr(), l.Addr().(*net.TCPAddr).AddrPort().Port())
-	s, err := jsonrpc.Listen(claim.Address(data), a.claims.Methods())
+	s, err := jsonrpc.Listen(claim.Address(data), a.claims.Methods(), a.callOptions...)
 	if err != nil {
 		return errors.Wrap(err, "listen for claims")
 	}
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -33,6 +33,7 @@
 	"github.com/prometheus/client_golang/prometheus/collectors"
 	"github.com/prometheus/client_golang/prometheus/promhttp"
 
+	"mangokeel/internal/jsonrpc"
 	"mangokeel/pkg/settings"
 )
 
@@ -149,6 +150,18 @@
 	return ExitOK, false
 }
 
+// Calls returns the options for clients and servers of calls.
+func Calls(t settings.TLS) ([]jsonrpc.Option, error) {
+	if t == (settings.TLS{}) {
+		return nil, nil
+	}
+	f, err := jsonrpc.NewFiles(t.Cert, t.Key, t.CA)
+	if err != nil {
+		return nil, err
+	}
+	return []jsonrpc.Option{jsonrpc.WithTLS(f.Config())}, nil
+}
+
 // Version returns the module's version as the build recorded it.
 func Version() string {
 	if info, ok := debug.ReadBuildInfo(); ok {
--- a/pkg/settings/check.go
+++ b/pkg/settings/check.go
@@ -99,6 +99,11 @@
 	return fault(d >= 0 && d.Value() <= high, key, "%s is not between 0s and %s", d.Value(), high)
 }
 
+func (t TLS) check() *Error {
+	none := t == TLS{}
+	return fault(none || (t.Cert != "" && t.Key != "" && t.CA != ""), "tls", "cert, key and ca belong together")
+}
+
 // Check implements Checker.
 func (s *Control) Check() error {
 	hash, err := hex.DecodeString(s.Operator)
@@ -110,6 +115,7 @@
 		need("data", s.Data != ""),
 		s.checkMembers(),
 		fault(err == nil && (len(hash) == 0 || len(hash) == sha256.Size), "operator", "not a SHA-256 hash of 64 hexadecimal digits"),
+		s.TLS.check(),
 	)
 }
 
@@ -142,6 +148,7 @@
 		need("data", s.Data.IsValid()),
 		optionalAddr("status", s.Status),
 		needAddrs("control", s.Control),
+		s.TLS.check(),
 	)
 }
 
@@ -155,6 +162,7 @@
 		needAddr("target", s.Target),
 		optionalAddr("status", s.Status),
 		needAddrs("control", s.Control),
+		s.TLS.check(),
 		fault((s.Cert == "") == (s.Key == ""), "cert", "cert and key belong together"),
 	)
 }
--- a/pkg/settings/settings.go
+++ b/pkg/settings/settings.go
@@ -124,6 +124,16 @@
 	// Operator is the SHA-256 hash of the operators' key in hexadecimal. The key
 	// opens all subtrees.
 	Operator string `yaml:"operator"`
+	TLS      TLS    `yaml:"tls"`
+}
+
+// TLS names the PEM files for calls between processes. Both sides of a call
+// present a certificate of the authority. The files are read again when they
+// change. Without them calls are not encrypted.
+type TLS struct {
+	Cert string `yaml:"cert"`
+	Key  string `yaml:"key"`
+	CA   string `yaml:"ca"`
 }
 
 // Member is one control instance.
@@ -148,6 +158,7 @@
 	// Status serves /metrics and /dump.
 	Status  netip.AddrPort   `yaml:"status"`
 	Control []netip.AddrPort `yaml:"control"`
+	TLS     TLS              `yaml:"tls"`
 }
 
 // Agent is the settings of an agent.
@@ -167,6 +178,7 @@
 	// Cert and Key are the files of the service's TLS certificate for HTTP/3.
 	Cert string `yaml:"cert"`
 	Key  string `yaml:"key"`
+	TLS  TLS    `yaml:"tls"`
 }
 
 // Buckets of a service. With the default, 4,800 services take 10 MB of tables on a
