fabric: small read buffers, pooled memory for forwarding, one reader

Cause: each reader of each service kept 131 KB, which at 4,800 services and two readers is 1.26 GB. Buffers now start at 2 KB and grow after the first packet that does not fit; the rest of the memory comes from a pool. One reader for each socket is the default again, since it forwarded the most packets. Ruled out: waiting for readiness without a buffer, which costs one more system call for each packet.

--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -47,9 +47,9 @@
 	// defaultLinger is how long a balancer that has left still forwards. Agents
 	// hear of the departure within a poll of 1 s and send replies until then.
 	defaultLinger = 2 * time.Second
-	// defaultReaders is the number of readers of each socket. The second covers
-	// for one that waits for a processor; more only contend for the socket's lock.
-	defaultReaders = 2
+	// defaultReaders is the number of readers of each socket. Over loopback more of
+	// them forward fewer packets, because they contend for the socket's lock.
+	defaultReaders = 1
 )
 
 // endpoints are the open services.
@@ -72,6 +72,8 @@
 	follower *view.Follower
 	data     *data
 	streams  streams
+	// scratch has values of type *scratch.
+	scratch sync.Pool
 
 	// mu orders changes of open and failed.
 	mu sync.Mutex
@@ -151,6 +153,7 @@
 	if b.data, err = openData(cfg.Data); err != nil {
 		return nil, err
 	}
+	b.scratch.New = b.newScratch
 	b.metrics = newMetrics(b.reg)
 	for range b.readers {
 		b.data.done.Go(b.readReplies)
--- a/internal/fabric/balancer_test.go
+++ b/internal/fabric/balancer_test.go
@@ -222,15 +222,15 @@
 	c := qt.New(t)
 	x := start(t, 3)
 	conn := x.dial(t, "udp")
-	echo := func() {
-		_, err := conn.Write([]byte("stock?"))
+	echo := func(sent []byte) {
+		_, err := conn.Write(sent)
 		c.Assert(err, qt.IsNil)
-		b := make([]byte, 100)
+		b := make([]byte, 1<<16)
 		n, err := conn.Read(b)
 		c.Assert(err, qt.IsNil)
-		c.Assert(string(b[:n]), qt.Equals, "stock?")
+		c.Assert(bytes.Equal(b[:n], sent), qt.IsTrue)
 	}
-	echo()
+	echo([]byte("stock?"))
 	_, err := conn.Write(make([]byte, fabric.MaxPacket+1))
 	c.Assert(err, qt.IsNil)
 	raw, err := net.Dial("udp", x.Dump().Data.String())
@@ -258,7 +258,8 @@
 		c.Assert(err, qt.IsNil)
 	}
 	eventually(t, func() bool { return x.metric("mangokeel_balancer_dropped_total") == 12 })
-	echo()
+	echo([]byte("stock?"))
+	echo(make([]byte, fabric.MaxPacket))
 	c.Assert(x.metric("mangokeel_invariant_violations_total"), qt.Equals, 0.0)
 	_, err = json.Marshal(x.Dump())
 	c.Assert(err, qt.IsNil)
--- a/internal/fabric/bench_test.go
+++ b/internal/fabric/bench_test.go
@@ -125,7 +125,7 @@
 // BenchmarkForward compares whole forwarding over loopback with a bare UDP relay
 // in the same run, in alternating rounds.
 func BenchmarkForward(b *testing.B) {
-	const readers = 2
+	const readers = 1
 	s := newSink(b)
 	x := startWith(b, []netip.AddrPort{s.addr()}, fabric.WithReaders(readers))
 	relay := bareRelay(b, readers, s.addr())
--- a/internal/fabric/service.go
+++ b/internal/fabric/service.go
@@ -17,6 +17,9 @@
 	maxDatagram = 65507
 	// MaxPacket is the largest packet from a caller; the rest is for the header.
 	MaxPacket = maxDatagram - wire.MaxHeader - 2
+	// smallPacket holds the packets of an Ethernet. Buffers start with it, because
+	// a balancer has a reader for each of thousands of services.
+	smallPacket = 2048
 )
 
 // endpoint is the pair of sockets of one service.
@@ -59,59 +62,61 @@
 	e.done.Wait()
 }
 
-// readPackets forwards packets from callers until the socket closes.
+// readPackets forwards packets from callers until the socket closes. A packet that
+// does not fit the buffer is lost, and the next one finds a larger buffer.
 func (b *Balancer) readPackets(e *endpoint) {
-	f := newForwarder(b)
+	in := make([]byte, smallPacket)
 	for {
-		n, caller, err := e.packets.ReadPacket(f.in)
+		n, caller, err := e.packets.ReadPacket(in)
 		switch {
 		case errors.Is(err, net.ErrClosed):
 			return
 		case err != nil:
 			continue // an ICMP error of an earlier write
+		case n == len(in):
+			b.metrics.drop(dropOversized)
+			in = make([]byte, MaxPacket+1)
+			continue
 		}
-		f.forward(e.id, caller, f.in[:n])
+		b.forward(e.id, caller, in[:n])
 	}
 }
 
-// forwarder has the buffers of one reader.
-type forwarder struct {
-	b        *Balancer
+// scratch is the memory that forwarding one packet needs.
+type scratch struct {
 	decision *Decision
-	in, out  []byte
+	out      []byte
 }
 
-func newForwarder(b *Balancer) *forwarder {
-	f := &forwarder{b: b, decision: NewDecision(), in: make([]byte, maxDatagram+1), out: make([]byte, 0, maxDatagram)}
-	f.decision.Header.SetVia(b.data.address)
-	return f
+func (b *Balancer) newScratch() any {
+	x := &scratch{decision: NewDecision(), out: make([]byte, 0, smallPacket+wire.MaxHeader)}
+	x.decision.Header.SetVia(b.data.address)
+	return x
 }
 
 // forward sends one packet to the agent of its target.
-func (f *forwarder) forward(id mangokeel.ServiceID, caller netip.AddrPort, packet []byte) {
-	m := f.b.metrics
-	s := f.b.view.State()
+func (b *Balancer) forward(id mangokeel.ServiceID, caller netip.AddrPort, packet []byte) {
+	s := b.view.State()
 	svc := s.Service(id)
 	if svc == nil {
-		m.drop(dropService)
+		b.metrics.drop(dropService)
 		return
 	}
-	if len(packet) > MaxPacket {
-		m.drop(dropOversized)
+	x := b.scratch.Get().(*scratch)
+	defer b.scratch.Put(x)
+	if o := x.decision.Decide(s, svc, caller, packet); o != Forward {
+		b.metrics.refuse(o)
 		return
 	}
-	if o := f.decision.Decide(s, svc, caller, packet); o != Forward {
-		m.refuse(o)
-		return
-	}
-	out, err := wire.AppendPacket(f.out[:0], &f.decision.Header, packet)
+	out, err := wire.AppendPacket(x.out[:0], &x.decision.Header, packet)
 	if err != nil {
-		m.drop(dropOversized)
+		b.metrics.drop(dropOversized)
 		return
 	}
-	if err := f.b.data.send(out, f.decision.Target.Agent); err != nil {
-		m.drop(dropSend)
+	x.out = out
+	if err := b.data.send(out, x.decision.Target.Agent); err != nil {
+		b.metrics.drop(dropSend)
 		return
 	}
-	m.packets[f.decision.Header.GetKind()].Inc()
+	b.metrics.packets[x.decision.Header.GetKind()].Inc()
 }
