--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -120,9 +120,9 @@
 	}
 	a.subs = append(a.subs,
 		a.timers.Every(expirePeriod, a.expire),
-		a.timers.Every(probePeriod, a.look),
+		a.timers.Every(probePeriod, a.probeTarget),
 		a.timers.Every(caller.ReapPeriod, a.reap),
-		a.timers.After(joinPatience, a.outside),
+		a.timers.After(joinPatience, a.warnUnjoined),
 	)
 	a.done.Add(1)
 	go func() {
@@ -218,9 +218,9 @@
 	_ = level.Info(a.log).Log("msg", "joined", "handle", id)
 }
 
-// outside logs that the target is not in the roster, because control cannot be
+// warnUnjoined logs that the target is not in the roster, because control cannot be
 // reached or refuses it.
-func (a *Agent) outside(time.Time) {
+func (a *Agent) warnUnjoined(time.Time) {
 	if a.handle.Load() == 0 {
 		_ = level.Warn(a.log).Log("msg", "not joined yet", "service", a.cfg.Service, "zone", a.cfg.Zone)
 	}
@@ -246,7 +246,7 @@
 	closed := reg.table.Update(s)
 	a.reg = reg
 	a.mu.Unlock()
-	a.follow(reg, s.Service(reg.service), closed)
+	a.applyTarget(reg, s.Service(reg.service), closed)
 }
 
 // register returns a registration for the present handle once the view has it.
@@ -292,8 +292,8 @@
 	return e
 }
 
-// follow reacts to changes of the target's own record.
-func (a *Agent) follow(reg *registration, svc *view.Service, closed bool) {
+// applyTarget reacts to changes of the target's own record.
+func (a *Agent) applyTarget(reg *registration, svc *view.Service, closed bool) {
 	if svc == nil || svc.Targets[reg.handle] == nil {
 		return
 	}
@@ -357,8 +357,8 @@
 	return r
 }
 
-// look checks the target of an HTTP service. A UDP target need not listen on TCP.
-func (a *Agent) look(time.Time) {
+// probeTarget checks the target of an HTTP service. A UDP target need not listen on TCP.
+func (a *Agent) probeTarget(time.Time) {
 	a.mu.Lock()
 	http := a.reg != nil && a.reg.relay == nil
 	a.mu.Unlock()
@@ -422,7 +422,7 @@
 	return ok
 }
 
-// reap closes connections that are idle although their callers were told to go.
+// reap closes idle connections of a leaving target.
 func (a *Agent) reap(now time.Time) {
 	a.mu.Lock()
 	reg := a.reg
--- a/internal/agent/drain.go
+++ b/internal/agent/drain.go
@@ -11,9 +11,9 @@
 )
 
 const (
-	// settle is the time for which a leaving agent waits at least, so that all
+	// minDrain is the time for which a leaving agent waits at least, so that all
 	// nodes learn of it and late packets still find it.
-	settle = 3 * time.Second
+	minDrain = 3 * time.Second
 	// drainPeriod is the time between two looks whether all flows have ended.
 	drainPeriod = 200 * time.Millisecond
 	// leaveTimeout bounds one announcement to control.
@@ -57,7 +57,7 @@
 			cancel()
 		}
 		spent := a.timers.Now().Sub(begin)
-		if spent >= settle && a.busy() == 0 && !a.holdsClaims(spent) {
+		if spent >= minDrain && a.busy() == 0 && !a.holdsClaims(spent) {
 			return
 		}
 		if limit := a.drainTime(); limit > 0 && spent >= limit {
@@ -78,7 +78,7 @@
 	}
 	svc := a.view.State().Service(a.reg.service)
 	if svc == nil {
-		return settle
+		return minDrain
 	}
 	return time.Duration(svc.GetDrainMs()) * time.Millisecond
 }
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -13,9 +13,9 @@
 
 // counters counts what package flow does not see.
 type counters struct {
-	packets, malformed, early, overflow   atomic.Uint64
-	readErrors, writeErrors, targetErrors atomic.Uint64
-	refused, requests                     atomic.Uint64
+	packets, malformed, unregistered, overflow atomic.Uint64
+	readErrors, writeErrors, targetErrors      atomic.Uint64
+	refused, requests                          atomic.Uint64
 	// running is the number of requests that have begun and not ended.
 	running atomic.Int64
 	// refusedAt is the time of a UDP target's last refusal in nanoseconds since
@@ -167,7 +167,7 @@
 	return map[string]uint64{
 		"packet":        a.counters.packets.Load(),
 		"malformed":     a.counters.malformed.Load(),
-		"early":         a.counters.early.Load(),
+		"unregistered":  a.counters.unregistered.Load(),
 		"overflow":      a.counters.overflow.Load(),
 		"read-error":    a.counters.readErrors.Load(),
 		"write-error":   a.counters.writeErrors.Load(),
--- a/internal/agent/packet.go
+++ b/internal/agent/packet.go
@@ -48,7 +48,7 @@
 	reg := a.reg
 	if reg == nil {
 		a.mu.Unlock()
-		a.counters.early.Add(1)
+		a.counters.unregistered.Add(1)
 		return
 	}
 	p.Opens = true
--- a/internal/caller/endpoint.go
+++ b/internal/caller/endpoint.go
@@ -82,7 +82,7 @@
 	cancel    context.CancelFunc
 
 	mu sync.Mutex
-	// server serves new connections. Those of earlier ones were told to go.
+	// server serves new connections. Those of earlier servers have a GOAWAY.
 	server  *http3.Server
 	leaving bool
 	conns   map[*quic.Conn]*connection
@@ -91,10 +91,10 @@
 // connection is one caller's QUIC connection.
 type connection struct {
 	running atomic.Int32
-	// entered is set once the server has counted the connection.
-	entered bool
-	// told is the time of the GOAWAY, or zero.
-	told time.Time
+	// counted is set once the server has counted the connection.
+	counted bool
+	// goawayAt is the time of the GOAWAY, or zero.
+	goawayAt time.Time
 }
 
 type connectionKey struct{}
@@ -158,7 +158,7 @@
 			e.mu.Lock()
 			defer e.mu.Unlock()
 			x := e.conns[c]
-			x.entered = true
+			x.counted = true
 			return context.WithValue(ctx, connectionKey{}, x)
 		},
 	}
@@ -190,8 +190,8 @@
 	s := e.server
 	e.conns[c] = &connection{}
 	e.mu.Unlock()
-	// The error is the reason why the connection ended. A server that was told to
-	// go in the meantime leaves it open.
+	// The error is the reason why the connection ended. A server that was shut
+	// down in the meantime leaves it open.
 	_ = s.ServeQUICConn(c)
 	_ = c.CloseWithError(quic.ApplicationErrorCode(http3.ErrCodeNoError), "")
 	e.mu.Lock()
@@ -234,10 +234,10 @@
 	var idle []*quic.Conn
 	e.mu.Lock()
 	if e.leaving {
-		e.tell(now)
+		e.sendGoaway(now)
 	}
 	for q, c := range e.conns {
-		if !c.told.IsZero() && now.Sub(c.told) > goawayGrace && c.running.Load() == 0 {
+		if !c.goawayAt.IsZero() && now.Sub(c.goawayAt) > goawayGrace && c.running.Load() == 0 {
 			idle = append(idle, q)
 		}
 	}
@@ -247,26 +247,26 @@
 	}
 }
 
-// tell sends a GOAWAY to all callers that have none yet. The server's Shutdown does
+// sendGoaway sends a GOAWAY to all callers that have none yet. The server's Shutdown does
 // so; another server takes its place. A connection that the server has not yet
-// counted would end its count twice, which panics, so tell waits for it. The
+// counted would end its count twice, which panics, so it waits for it. The
 // caller holds mu.
-func (e *Endpoint) tell(now time.Time) {
-	var untold []*connection
+func (e *Endpoint) sendGoaway(now time.Time) {
+	var pending []*connection
 	for _, c := range e.conns {
 		switch {
-		case !c.told.IsZero():
-		case !c.entered:
+		case !c.goawayAt.IsZero():
+		case !c.counted:
 			return
 		default:
-			untold = append(untold, c)
+			pending = append(pending, c)
 		}
 	}
-	if len(untold) == 0 {
+	if len(pending) == 0 {
 		return
 	}
-	for _, c := range untold {
-		c.told = now
+	for _, c := range pending {
+		c.goawayAt = now
 	}
 	old := e.server
 	e.server = e.newServer()
--- a/internal/flow/walk.go
+++ b/internal/flow/walk.go
@@ -58,7 +58,7 @@
 		if t.closed() {
 			return Decision{Action: Reset}
 		}
-		t.settle(p.Caller)
+		t.forget(p.Caller)
 		return Decision{Action: Deliver}
 	}
 	if t.service == nil || p.Named >= t.state.NextHandle {
@@ -71,10 +71,10 @@
 	return t.forward(p, wire.Kind_KIND_DELIVER, Hop{Handle: to.Handle, Agent: to.Agent}, step{epoch: p.Epoch})
 }
 
-// settle removes the entry of a caller who uses this agent's connection IDs. All
+// forget removes the entry of a caller who uses this agent's connection IDs. All
 // its later packets are found by them. With the entry, a new connection from the
 // same port would go to this target even when it is leaving.
-func (t *Table) settle(caller netip.AddrPort) {
+func (t *Table) forget(caller netip.AddrPort) {
 	if t.count > 0 && t.Remove(caller) {
 		t.counters.Settled++
 	}
@@ -92,17 +92,17 @@
 	if t.touch(now, p.Bucket, p.Caller) {
 		return Decision{Action: Deliver}
 	}
-	if !t.plausible(p) {
+	if !t.validBucket(p) {
 		return drop(ReasonBucket)
 	}
 	s, fresh := t.newest(p)
 	if f, ok := t.floors[p.Bucket]; ok && f.epoch > s.epoch {
 		t.counters.Fenced++
-		return t.begin(p, step{epoch: f.epoch, chain: f.chain})
+		return t.restart(p, step{epoch: f.epoch, chain: f.chain})
 	}
 	switch {
 	case fresh && s.chain[0].Handle != t.cfg.Handle:
-		return t.begin(p, s)
+		return t.restart(p, s)
 	case s.at >= len(s.chain) || s.chain[s.at].Handle != t.cfg.Handle:
 		return drop(ReasonChain)
 	}
@@ -119,8 +119,8 @@
 	return t.forward(p, wire.Kind_KIND_FIND, s.chain[1], step{s.epoch, s.chain, 1})
 }
 
-// plausible checks the bucket against the caller as far as the view allows.
-func (t *Table) plausible(p Packet) bool {
+// validBucket checks the bucket against the caller as far as the view allows.
+func (t *Table) validBucket(p Packet) bool {
 	if t.service == nil {
 		return p.Bucket < MaxBuckets
 	}
@@ -213,9 +213,9 @@
 	return int(t.service.GetConnections())
 }
 
-// begin begins a walk at the owner of a newer chain, or at the first other holder
+// restart begins a walk at the owner of a newer chain, or at the first other holder
 // when the bucket has no owner.
-func (t *Table) begin(p Packet, s step) Decision {
+func (t *Table) restart(p Packet, s step) Decision {
 	for i, to := range s.chain {
 		if i == 0 && to.Handle != 0 || i > 0 && to.Handle != t.cfg.Handle {
 			return t.forward(p, wire.Kind_KIND_FIND, to, step{s.epoch, s.chain, i})
