target: raise the weight of targets under no pressure

Cause: the weight followed the limit, which grows with completed work, so a target with little work stayed cold beside warm ones and got still less. Withdrawals are waited for only where the key must be free afterwards.

--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -226,7 +226,12 @@
 		if o.Verdict == Run {
 			break
 		}
-		k.Withdraw(c)
+		done := k.withdraw(c)
+		if o.Verdict != NotRun && !o.Split {
+			break
+		}
+		// The key is free for another round, or another agent, when the call returns.
+		await(done)
 		if !k.again(ctx, c, o) {
 			break
 		}
@@ -322,16 +327,21 @@
 
 // Withdraw gives up an attempt that has not run and never will. It waits a short
 // time, so that the key is free for another attempt when it returns.
-func (k *Keeper) Withdraw(c *Claim) {
-	done := k.spread(c, func(ctx context.Context, h mangokeel.Handle, service uint32) error {
-		return k.call(ctx, h, "withdraw", &wire.WithdrawRequest{Service: service, Member: uint32(h), Key: c.Key[:], Id: c.ID[:]}, &wire.WithdrawReply{})
-	})
+func (k *Keeper) Withdraw(c *Claim) { await(k.withdraw(c)) }
+
+func await(done <-chan struct{}) {
 	select {
 	case <-done:
 	case <-time.After(withdrawWait):
 	}
 }
 
+func (k *Keeper) withdraw(c *Claim) <-chan struct{} {
+	return k.spread(c, func(ctx context.Context, h mangokeel.Handle, service uint32) error {
+		return k.call(ctx, h, "withdraw", &wire.WithdrawRequest{Service: service, Member: uint32(h), Key: c.Key[:], Id: c.ID[:]}, &wire.WithdrawReply{})
+	})
+}
+
 // spread tells the members of a claim and of the present home of its end, and those
 // of a home that replaces it at that time. The channel is closed once the first
 // have been told or given up.
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -48,9 +48,6 @@
 	probePeriod = 500 * time.Millisecond
 )
 
-// FullWeight is the weight of a target that can bear its whole configured limit.
-const FullWeight = 256
-
 // Handler relays requests to one target.
 type Handler struct {
 	target   netip.AddrPort
@@ -60,6 +57,7 @@
 	metrics  *metrics
 	gate     *gate
 	budget   budget
+	weigher  weigher
 	// claims is nil for services whose requests are not claimed.
 	claims *claim.Keeper
 	// local and peers carry requests to the target and to other agents.
@@ -171,21 +169,13 @@
 func (h *Handler) Leave() { h.left.Store(true) }
 
 // Weight is the share of work that the target can bear, 0 to FullWeight: 0 while
-// it cannot be reached, 1 while its requests fail, else its limit in steps of a
-// factor of two, so that control learns of few changes.
+// it cannot be reached, 1 while its requests fail, and otherwise its limit, or more
+// if it has been under no pressure.
 func (h *Handler) Weight() uint32 {
 	if h.unreachable() {
 		return 0
 	}
-	s := h.gate.stats()
-	if s.failing {
-		return 1
-	}
-	w := uint32(FullWeight)
-	for w > 1 && s.share < float64(w)/FullWeight {
-		w /= 2
-	}
-	return w
+	return h.weigher.weigh(h.timers.Now(), h.gate.stats())
 }
 
 // Running is the number of requests in the handler, those that wait, those whose
