--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -16,7 +16,7 @@
 }
 
 func start(p *process.Process, cfg settings.Agent) error {
-	remote := jsonrpc.NewClient()
+	remote := jsonrpc.NewClient(jsonrpc.WithRegisterer(p.Registry))
 	k := claim.NewKeeper(remote, claim.WithLogger(p.Log), claim.WithRegistry(p.Registry))
 	h, err := target.New(cfg.Target, target.WithLogger(p.Log), target.WithRegistry(p.Registry), target.WithClaims(k))
 	if err != nil {
