--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -303,6 +303,8 @@
 		c.meta.Cluster = cluster
 		c.dirty = true
 		c.fresh = nil
+		// Terms of the other cluster had leaders of their own.
+		c.leader, c.heard = "", time.Time{}
 	}
 	return true
 }
--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -235,3 +235,19 @@
 	b.now = b.now.Add(heartbeatInterval)
 	qt.Assert(t, pre(1), qt.IsTrue)
 }
+
+// Guards against an instance that stops because the cluster it joins, while its log
+// is empty, has a leader in the same term as the one before (seed 300954 of
+// TestSchedules).
+func TestClusterChangesWhileEmpty(t *testing.T) {
+	b := newBench(t)
+	b.disk = &disk.Fake{}
+	b.open()
+	id := b.e.core.id()
+	for _, x := range []string{"x", "y", "z"} {
+		r := b.step(&wire.AppendRequest{Cluster: x, From: x, To: id, Term: 2})
+		qt.Assert(t, r.(*wire.AppendReply).GetOk(), qt.IsTrue)
+	}
+	b.step(&wire.AppendRequest{Cluster: "z", From: "z", To: id, Term: 2, Entries: []*wire.Entry{{Index: 1, Term: 2}}})
+	qt.Assert(t, b.e.core.admit(1, "x", id), qt.IsFalse)
+}
