replica: judge a schedule without a leader by the longest log

Cause: the test excused a missing leader when any stale membership lacked a majority. Change: only the membership of the longest log counts, with all hosts up.

--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -632,21 +632,22 @@
 }
 
 // stuck reports whether cut tails and lost disks leave fewer than a majority that
-// may vote, which is a state that needs an operator.
+// may vote, going by the longest log. That state needs an operator.
 func (s *sim) stuck() bool {
+	var most *core
 	for _, h := range s.hosts {
-		if h.e == nil || !votes(h.e.core.membership, h.id) {
-			continue
+		if h.e == nil || s.leader() != nil {
+			return false
 		}
-		whole := majority(h.e.core.membership, func(id string) bool {
-			x := s.current(id)
-			return x != nil && x.e != nil && !x.e.core.meta.GetCut()
-		})
-		if !whole && s.leader() == nil {
-			return true
+		c := h.e.core
+		if most == nil || c.log.lastTerm() > most.log.lastTerm() || c.log.lastTerm() == most.log.lastTerm() && c.log.last() > most.log.last() {
+			most = c
 		}
 	}
-	return false
+	return !majority(most.membership, func(id string) bool {
+		x := s.current(id)
+		return x != nil && !x.e.core.meta.GetCut()
+	})
 }
 
 func (s *sim) describe() string {
