control, roster, agent: claim homes survive a short absence of a zone

The home still held three handles that ended with the return of the zone and one that was killed, so keys had lost two of three members; new members wait two claim lifetimes. Ruled out: the claims themselves (no duplicates, no untrue refusals); joint steps that end too early.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -49,6 +49,8 @@
 	Update(s *view.Service, own mangokeel.Handle)
 	// Leave makes it hand new requests over to other agents.
 	Leave()
+	// Chill tells that the target is cold.
+	Chill()
 	// Load is its part of the report to control.
 	Load() *wire.Load
 	// Running is the number of requests that have not ended.
@@ -314,6 +316,9 @@
 	}
 	if closed != reg.closed {
 		reg.closed = closed
+		if !closed {
+			a.target.Chill()
+		}
 		_ = level.Info(a.log).Log("msg", "availability zone changed", "out", closed)
 	}
 	if closed {
--- a/internal/agent/fake_test.go
+++ b/internal/agent/fake_test.go
@@ -257,6 +257,9 @@
 
 func (host) Update(*view.Service, mangokeel.Handle) {}
 func (host) Leave()                                 {}
+
+// Chill implements agent.Target.
+func (host) Chill() {}
 func (host) Load() *wire.Load                       { return &wire.Load{Weight: 256} }
 func (host) Running() int                           { return 0 }
 func (host) Close()                                 {}
--- a/internal/control/home.go
+++ b/internal/control/home.go
@@ -9,9 +9,15 @@
 )
 
 const (
-	// homeDelay is how long the targets of a service must stay the same before its
-	// claim home follows, so that a roll costs few steps.
+	// homeDelay is how long new targets of a service must have been there before its
+	// claim home takes them in, so that a roll costs few steps. A home that has lost
+	// members moves at once: until it has moved, the loss of one more member leaves
+	// some keys without a majority.
 	homeDelay = time.Second
+	// homeSilence is how long a target may be silent before a next home leaves it
+	// out. A joint step waits for all members of the next home, so a dead one would
+	// hold it up until its lease ends.
+	homeSilence = 1500 * time.Millisecond
 	// maxHomes bounds the steps of one sweep.
 	maxHomes = 64
 )
@@ -32,12 +38,14 @@
 	c.leases.wanted = map[uint32]wanted{}
 	var out []*wire.Command
 	for _, h := range c.machine.Homes() {
+		h.Want = c.leases.speaking(now, h.Want)
+		h.Broken = h.Broken || missing(h.Home.GetNext(), h.Want)
 		w := old[h.Service]
 		if !slices.Equal(w.roster, h.Want) || w.since.IsZero() {
 			w = wanted{h.Want, now}
 		}
 		c.leases.wanted[h.Service] = w
-		x := c.leases.rehome(h, now.Sub(w.since) >= homeDelay)
+		x := c.leases.rehome(h, now.Sub(w.since) >= homeDelay || missing(h.Home.GetNow(), h.Want))
 		if x != nil && len(out) < maxHomes {
 			out = append(out, &wire.Command{Body: &wire.Command_Rehome{Rehome: x}})
 		}
@@ -45,6 +53,48 @@
 	return out
 }
 
+// missing reports whether a member of a home is not in another one.
+func missing(home, other []uint32) bool {
+	return slices.ContainsFunc(home, func(x uint32) bool { return x != 0 && !slices.Contains(other, x) })
+}
+
+// speaking returns home without the members that are silent. Those that this
+// instance has not heard yet stay. mu is held.
+func (l *leases) speaking(now time.Time, home []uint32) []uint32 {
+	var zones [][]uint32
+	zone := []uint32{}
+	for _, x := range append(slices.Clone(home), 0) {
+		n := l.nodes[nodeKey{agentRole, x}]
+		switch {
+		case x == 0 && len(zone) > 0:
+			zones = append(zones, zone)
+			zone = nil
+		case x != 0 && (n == nil || now.Sub(later(n.at, l.since)) <= homeSilence):
+			zone = append(zone, x)
+		}
+	}
+	return slices.Concat(join(zones)...)
+}
+
+// join returns the zones with a 0 between them.
+func join(zones [][]uint32) [][]uint32 {
+	var out [][]uint32
+	for i, z := range zones {
+		if i > 0 {
+			out = append(out, []uint32{0})
+		}
+		out = append(out, z)
+	}
+	return out
+}
+
+func later(a, b time.Time) time.Time {
+	if a.After(b) {
+		return a
+	}
+	return b
+}
+
 // rehome returns the next step of a home, or nil. settled means that the wanted
 // home has been the same for a while. mu is held.
 func (l *leases) rehome(h roster.Home, settled bool) *wire.Rehome {
@@ -52,6 +102,9 @@
 	switch joint := len(h.Home.GetNext()) > 0; {
 	case joint && l.ready(h.Home):
 		x.Done = true
+	case !joint && slices.Equal(h.Home.GetNow(), h.Want):
+		// All that the home lacks is silent.
+		return nil
 	case settled && len(h.Want) > 0 && (!joint || h.Broken):
 		x.Next = h.Want
 	default:
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -303,11 +303,7 @@
 		n = &nodeState{at: now}
 		l.nodes[k] = n
 	}
-	at := n.at
-	if at.Before(l.since) {
-		at = l.since
-	}
-	return now.Sub(at) > lease
+	return now.Sub(later(n.at, l.since)) > lease
 }
 
 // loads returns the commands for new weights and releases, and forgets the nodes
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -528,14 +528,19 @@
 	}
 }
 
-// collapse treats the target as cold.
+// Chill treats the target as cold, as after a time without work.
+func (l *Limiter) Chill(now time.Time) {
+	l.limit = l.cold()
+	l.health.ratio = 1
+	l.trim(now)
+}
+
+// collapse treats the target as cold because it no longer copes.
 func (l *Limiter) collapse(now time.Time) {
 	if l.limit > l.cold() {
 		l.counts.Collapses++
 	}
-	l.limit = l.cold()
-	l.health.ratio = 1
-	l.trim(now)
+	l.Chill(now)
 }
 
 func (l *Limiter) cold() float64 { return coldShare * float64(l.cfg.Slots) }
--- a/internal/target/gate.go
+++ b/internal/target/gate.go
@@ -40,6 +40,14 @@
 	g.poll()
 }
 
+// chill sets the limit of a cold target.
+func (g *gate) chill() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.l.Chill(g.timers.Now())
+	g.poll()
+}
+
 // ticket is a place in the queue or a slot.
 type ticket struct {
 	limit.Decision
--- a/internal/target/weight.go
+++ b/internal/target/weight.go
@@ -34,6 +34,13 @@
 	last limit.Counts
 }
 
+// chill sets the weight of a cold target.
+func (g *weigher) chill() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.raised = time.Time{}
+}
+
 // weigh returns the weight for a limiter's state.
 func (g *weigher) weigh(now time.Time, s stats) uint32 {
 	g.mu.Lock()
