--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -281,6 +281,15 @@
 	reply := <-replies
 	c.Assert(time.Since(start) < 500*time.Millisecond, qt.IsTrue)
 	c.Assert(reply.GetUpdate().GetTargets(), qt.Not(qt.HasLen), 0)
+
+	// The end of the node's own registration wakes it as well.
+	node.Revision = reply.GetUpdate().GetRevision()
+	go func() { replies <- k.sync(1, node) }()
+	time.Sleep(50 * time.Millisecond)
+	start = time.Now()
+	ask(k, 0, "leave", &wire.LeaveRequest{Role: wire.Role_ROLE_AGENT, Id: node.GetId(), Incarnation: node.GetIncarnation(), Gone: true}, &wire.LeaveReply{})
+	c.Assert((<-replies).GetCode(), qt.Equals, wire.Code_CODE_UNKNOWN)
+	c.Assert(time.Since(start) < 500*time.Millisecond, qt.IsTrue)
 }
 
 // Guards against a restarted instance that takes a node back to an older
--- a/internal/control/node.go
+++ b/internal/control/node.go
@@ -56,6 +56,9 @@
 	defer timer.Cancel()
 	for {
 		changed := c.machine.Changed()
+		if reply := c.refuse(req); reply != nil {
+			return reply, nil
+		}
 		u := c.machine.Update(mangokeel.Revision(req.GetRevision()), req.GetRole(), c.serviceOf(req))
 		empty := roster.Empty(u)
 		if empty {
--- a/internal/roster/service.go
+++ b/internal/roster/service.go
@@ -24,6 +24,12 @@
 	held map[mangokeel.Handle]bucket.Bitmap
 	// table is always the one computed from record and targets after a step.
 	table bucket.Table
+	// configured are the availability zones in the settings document, those that
+	// are taken out included.
+	configured []string
+	// wanted is the claim home that the service should have. It follows record and
+	// targets as table does.
+	wanted []uint32
 	// journal has the records that agents of the service need.
 	journal *journal
 }
@@ -67,6 +73,7 @@
 
 // configure brings the record in line with its settings document.
 func (s *step) configure(svc *service, x *settings.Service) {
+	svc.configured = sortedZones(x.Zones)
 	r := s.service(svc)
 	if old := r.GetAddress(); s.m.index.addresses[old] == r.GetId() {
 		delete(s.m.index.addresses, old)
@@ -104,6 +111,7 @@
 
 // retable recomputes the owners and marks where flows may remain.
 func (s *step) retable(svc *service) {
+	svc.wanted = svc.want()
 	next := bucket.New(view.Members(svc.record, svc.targets), svc.record.GetBuckets())
 	moved := false
 	for b := range svc.record.GetBuckets() {
@@ -196,7 +204,7 @@
 		if svc.record.GetProtocol() != wire.Protocol_PROTOCOL_HTTP {
 			continue
 		}
-		h := Home{Service: id, Home: svc.record.GetHome(), Want: svc.want()}
+		h := Home{Service: id, Home: svc.record.GetHome(), Want: svc.wanted}
 		for _, x := range h.Home.GetNext() {
 			h.Broken = h.Broken || (x != 0 && !slices.Contains(h.Want, x))
 		}
@@ -228,6 +236,8 @@
 	return out
 }
 
+func sortedZones(zones []string) []string { return slices.Compact(slices.Sorted(slices.Values(zones))) }
+
 func protocolOf(name string) wire.Protocol {
 	if name == "udp" {
 		return wire.Protocol_PROTOCOL_UDP
--- a/internal/roster/snapshot.go
+++ b/internal/roster/snapshot.go
@@ -21,11 +21,15 @@
 	x := &wire.RosterSnapshot{
 		Revision: m.revision, NextHandle: m.nextHandle, NextService: m.nextService, NextBalancer: m.nextBalancer,
 		Floor: m.all.floor, TargetIncarnations: m.targetStarts, BalancerIncarnations: m.balancerStarts,
+		Configured: map[uint32]*wire.ZoneList{},
 	}
 	for _, n := range slices.Sorted(maps.Keys(m.teams)) {
 		t := m.teams[n]
 		x.Teams = append(x.Teams, &wire.TeamState{Name: n, Revision: t.revision, Documents: t.documents, History: t.history, Keys: t.keys})
 	}
+	for id, svc := range m.services {
+		x.Configured[id] = &wire.ZoneList{Zones: svc.configured}
+	}
 	for _, e := range m.all.entries {
 		if m.current(e) {
 			include(x, e)
@@ -120,6 +124,8 @@
 		}
 	}
 	for _, svc := range m.services {
+		svc.configured = x.GetConfigured()[svc.record.GetId()].GetZones()
+		svc.wanted = svc.want()
 		svc.table = bucket.New(view.Members(svc.record, svc.targets), svc.record.GetBuckets())
 	}
 	return nil
--- a/internal/roster/tree.go
+++ b/internal/roster/tree.go
@@ -2,6 +2,7 @@
 
 import (
 	"bytes"
+	"cmp"
 	"fmt"
 	"maps"
 	"slices"
@@ -255,12 +256,17 @@
 
 // refresh applies the availability zones and drains of a team to its services.
 func (s *step) refresh(t *team) {
-	for _, id := range slices.Sorted(maps.Keys(s.m.services)) {
-		svc := s.m.services[id]
-		if svc.record.GetTeam() != t.name {
-			continue
+	out := t.zonesOut()
+	var own []*service
+	for _, svc := range s.m.services {
+		if svc.record.GetTeam() == t.name {
+			own = append(own, svc)
 		}
-		s.rezone(svc, t.zones(svc))
+	}
+	slices.SortFunc(own, func(a, b *service) int { return cmp.Compare(a.record.GetId(), b.record.GetId()) })
+	for _, svc := range own {
+		in := slices.DeleteFunc(slices.Clone(svc.configured), func(z string) bool { return out[z] })
+		s.rezone(svc, in)
 		for h, x := range svc.targets {
 			switch {
 			case s.m.drained(t.name, x.GetHost()):
@@ -272,22 +278,18 @@
 	}
 }
 
-// zones returns the configured zones of a service that are not taken out.
-func (t *team) zones(svc *service) []string {
-	var x settings.Service
-	if err := settings.Parse([]byte(t.documents[pathOf(svc.record)]), &x); err != nil {
-		return svc.record.GetZones()
-	}
-	var in []string
-	for _, z := range x.Zones {
+// zonesOut returns the availability zones that are taken out.
+func (t *team) zonesOut() map[string]bool {
+	out := map[string]bool{}
+	prefix := "/" + t.name + "/" + kindZones + "/"
+	for path, text := range t.documents {
 		var doc settings.Zone
-		text := t.documents["/"+t.name+"/"+kindZones+"/"+z]
-		if text == "" || (settings.Parse([]byte(text), &doc) == nil && doc.State != "out") {
-			in = append(in, z)
+		z, ok := strings.CutPrefix(path, prefix)
+		if ok && settings.Parse([]byte(text), &doc) == nil {
+			out[z] = doc.State == "out"
 		}
 	}
-	slices.Sort(in)
-	return slices.Compact(in)
+	return out
 }
 
 // drained reports whether a host of a team is drained.
