control: tests do not miss a change and wait out an election

It asked for the channel of the next change after it had read the state, and so could wait for a change that had happened; and it took STALE for a failure although a new leader answers so until a majority has confirmed it. Change: the test takes the channel first, and sends a change again on STALE as the client does.

--- a/internal/control/trio_test.go
+++ b/internal/control/trio_test.go
@@ -110,15 +110,22 @@
 	return 0
 }
 
+// set sends a change again while the instance has no confirmation by a majority,
+// as right after an election.
 func (x *trio) set(i int, id string, base uint64, path, value string) *wire.Outcome {
 	ctx, cancel := context.WithTimeout(context.Background(), 6*time.Second)
 	defer cancel()
-	var resp wire.SetReply
 	req := &wire.SetRequest{Key: operatorKey, Change: &wire.Change{
 		Id: id, Team: roster.TeamOf(path), Base: base, Items: []*wire.Item{{Path: path, Value: value}},
 	}}
-	x.c.Assert(x.client.Call(ctx, x.addrs[i], "set", req, &resp), qt.IsNil)
-	return resp.GetOutcome()
+	for {
+		var resp wire.SetReply
+		x.c.Assert(x.client.Call(ctx, x.addrs[i], "set", req, &resp), qt.IsNil)
+		if resp.GetOutcome().GetCode() != wire.Code_CODE_STALE {
+			return resp.GetOutcome()
+		}
+		time.Sleep(20 * time.Millisecond)
+	}
 }
 
 // Guards against a change that runs twice or is lost when the leader dies, and
@@ -139,15 +146,26 @@
 	c.Assert(x.set((dead+2)%3, "b", 0, dispatch, document).GetCode(), qt.Equals, wire.Code_CODE_CONFLICT)
 	x.start(dead)
 	c.Assert(x.set(x.leader(), "c", first.GetRevision(), "/sieste/zones/ebene", "state: out\n").GetCode(), qt.Equals, wire.Code_CODE_ACCEPTED)
-	for _, r := range x.running {
-		ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
-		defer cancel()
-		for r.machine.Service(1) == nil || len(r.machine.Service(1).GetZones()) != 2 {
-			select {
-			case <-r.machine.Changed():
-			case <-ctx.Done():
-				c.Fatal("a member has not caught up within 5 s")
-			}
+	for i := range x.running {
+		x.caughtUp(i)
+	}
+}
+
+// caughtUp waits until an instance has applied the change of TestLeaderDies.
+func (x *trio) caughtUp(i int) {
+	ctx, cancel := context.WithTimeout(context.Background(), 5*time.Second)
+	defer cancel()
+	m := x.running[i].machine
+	for {
+		// The channel is taken before the state is read, so that no change is missed.
+		changed := m.Changed()
+		if s := m.Service(1); s != nil && len(s.GetZones()) == 2 {
+			return
+		}
+		select {
+		case <-changed:
+		case <-ctx.Done():
+			x.c.Fatal("a member has not caught up within 5 s")
 		}
 	}
 }
