control: nodes of a frozen instance keep their leases until they have moved

Cause: a node leaves a frozen control instance after its call timed out, 2 s, and what the instance heard last may not have been reported, so the node was silent for the leader for up to 3.4 s and lost its lease of 3 s: the freeze or isolation of one follower ended the flows of a third of all targets.

Ruled out: a longer lease for all nodes, because dead targets would keep their share for longer; a shorter timeout of calls, because a loaded instance would lose its nodes.

Change: instances report every 250 ms even without news; nodes that were last heard by an instance silent for 1 s keep their lease for 2.5 s more.

Result: the new test fails without the extension (the moving node is gone after 3.25 s) and passes with it; a node that is really dead is still removed.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -35,6 +35,8 @@
 	term      uint64
 	// lose makes calls fail after the other side has executed them.
 	lose func(method string) bool
+	// cut is the name of the instance whose calls to others are not sent.
+	cut string
 }
 
 // instance is one member. It is its own Log.
@@ -118,6 +120,12 @@
 
 // Call implements mangokeel.Remote.
 func (k *cluster) Call(ctx context.Context, addr netip.AddrPort, method string, req, resp proto.Message) error {
+	k.mu.Lock()
+	cut := k.cut
+	k.mu.Unlock()
+	if f, ok := req.(*wire.ForwardRequest); ok && f.GetFrom() == cut {
+		return mangokeel.ErrNotSent
+	}
 	x, err := k.instances[addr.Port()-1].methods[method].Handle(ctx, req)
 	if err != nil {
 		return err
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -24,6 +24,13 @@
 	// sweepGap is the longest time between two sweeps of a running leader. After
 	// a longer one the process was stopped, and what it last heard says nothing.
 	sweepGap = time.Second
+	// instanceSilence is after how long without a report an instance counts as cut
+	// off or stopped.
+	instanceSilence = time.Second
+	// moveTime extends the leases of nodes that were last heard by such an
+	// instance. They leave it after a call has timed out, 2 s, and what it heard
+	// in its last moments was not reported.
+	moveTime = 2500 * time.Millisecond
 	// weightPeriod is the shortest time between two weights of one target.
 	weightPeriod = 2 * time.Second
 	// releasePeriod is how often releases are proposed. Each batch changes epochs,
@@ -137,17 +144,14 @@
 func (c *Control) report(now time.Time) {
 	st := c.log.Status()
 	nodes := c.heard.take()
-	if len(nodes) == 0 {
-		return
-	}
 	list := beats(now, nodes)
 	if st.Leading {
-		c.leases.hear(now, list)
+		c.leases.hear(now, c.cfg.Name, list)
 		return
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, tryTimeout)
 	defer cancel()
-	if _, err := c.ask(ctx, st, &wire.ForwardRequest{Beats: list}); err != nil {
+	if _, err := c.ask(ctx, st, &wire.ForwardRequest{Report: true, Beats: list}); err != nil {
 		c.metrics.unreported.Inc()
 		c.heard.restore(nodes)
 	}
@@ -165,6 +169,8 @@
 	// released is when releases were proposed last.
 	released time.Time
 	nodes    map[nodeKey]*nodeState
+	// instances has the time of each instance's last report.
+	instances map[string]time.Time
 	// mark and next are revisions of at least one and of less than one lagAge ago.
 	mark, next uint64
 	marked     time.Time
@@ -175,7 +181,9 @@
 }
 
 type nodeState struct {
-	at       time.Time
+	at time.Time
+	// via is the instance that heard the node last.
+	via      string
 	revision uint64
 	load     *wire.Load
 	release  *wire.Release
@@ -185,11 +193,14 @@
 	weighed time.Time
 }
 
-func newLeases() *leases { return &leases{nodes: map[nodeKey]*nodeState{}} }
+func newLeases() *leases {
+	return &leases{nodes: map[nodeKey]*nodeState{}, instances: map[string]time.Time{}}
+}
 
-func (l *leases) hear(now time.Time, list []*wire.Beat) {
+func (l *leases) hear(now time.Time, from string, list []*wire.Beat) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	l.instances[from] = now
 	for _, b := range list {
 		k := nodeKey{b.GetRole(), b.GetId()}
 		n := l.nodes[k]
@@ -197,11 +208,11 @@
 			n = &nodeState{}
 			l.nodes[k] = n
 		}
-		n.take(now, b)
+		n.take(now, from, b)
 	}
 }
 
-func (n *nodeState) take(now time.Time, b *wire.Beat) {
+func (n *nodeState) take(now time.Time, from string, b *wire.Beat) {
 	n.revision = max(n.revision, b.GetRevision())
 	if b.GetSilentMs() == neverHeard {
 		return
@@ -210,7 +221,7 @@
 	if at.Before(n.at) {
 		return
 	}
-	n.at = at
+	n.at, n.via = at, from
 	n.ready = b.GetReady()
 	if b.GetLoad() != nil {
 		n.load = b.GetLoad()
@@ -227,6 +238,7 @@
 	if !st.Leading {
 		l.term, l.lagging = 0, 0
 		clear(l.nodes)
+		clear(l.instances)
 		return false
 	}
 	if l.term != st.Term || now.Sub(l.swept) > sweepGap {
@@ -307,6 +319,9 @@
 	if at.Before(l.since) {
 		at = l.since
 	}
+	if last, ok := l.instances[n.via]; ok && now.Sub(last) > instanceSilence {
+		return now.Sub(at) > lease+moveTime
+	}
 	return now.Sub(at) > lease
 }
 
--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -100,6 +100,25 @@
 	c.Assert(x.present(alive), qt.IsTrue)
 }
 
+// Guards against nodes that are removed because the instance they polled froze or
+// was cut off, before they had time to move to another one.
+func TestNodesOfSilentInstance(t *testing.T) {
+	c := qt.New(t)
+	x := newClock(c, 3)
+	x.set(0, operatorKey, "a", "sieste", 0, dispatch, document)
+	moves, dies := x.enter(1, 1), x.enter(1, 2)
+	for range 8 {
+		x.sync(1, dies)
+		x.run(125*time.Millisecond, 1, moves)
+	}
+	x.with(func() { x.cut = "1" })
+	// A poll of 1 s, a call that times out after 2 s, and the pause before the next.
+	x.run(3250*time.Millisecond, 0, nil)
+	x.run(3*time.Second, 2, moves)
+	c.Assert(x.present(moves), qt.IsTrue)
+	c.Assert(x.present(dies), qt.IsFalse)
+}
+
 // Guards against a leader that was stopped for longer than a lease, still leads,
 // and removes every node because it heard none of them meanwhile.
 func TestStoppedLeaderKeepsNodes(t *testing.T) {
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -95,7 +95,9 @@
 		return &wire.ForwardReply{}, nil
 	}
 	resp := &wire.ForwardReply{Leader: true}
-	c.leases.hear(c.timers.Now(), req.GetBeats())
+	if req.GetReport() {
+		c.leases.hear(c.timers.Now(), req.GetFrom(), req.GetBeats())
+	}
 	if req.GetNodes() {
 		resp.Nodes = c.nodes(req.GetBelow())
 	}
