view: nodes start at different control instances

Cause: every node polled the first instance of its list, so that one instance served all nodes and the others none. Change: a follower starts at a random instance of its list.

--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -3,6 +3,7 @@
 import (
 	"context"
 	"crypto/rand"
+	mathrand "math/rand/v2"
 	"net/netip"
 	"sync/atomic"
 	"time"
@@ -103,7 +104,9 @@
 		confirmed: func(time.Time) {},
 
 		cancel: cancel,
-		done:   make(chan struct{}),
+		// Nodes start at different instances, so that each serves its share.
+		at:   mathrand.IntN(len(control)),
+		done: make(chan struct{}),
 	}
 	for _, o := range opts {
 		o(f)
