--- a/internal/agent/fake_test.go
+++ b/internal/agent/fake_test.go
@@ -259,10 +259,10 @@
 func (host) Leave()                                 {}
 
 // Chill implements agent.Target.
-func (host) Chill() {}
-func (host) Load() *wire.Load                       { return &wire.Load{Weight: 256} }
-func (host) Running() int                           { return 0 }
-func (host) Close()                                 {}
+func (host) Chill()           {}
+func (host) Load() *wire.Load { return &wire.Load{Weight: 256} }
+func (host) Running() int     { return 0 }
+func (host) Close()           {}
 
 // newAgent starts an agent and waits until it has its first view.
 func newAgent(t *testing.T, c *control, target netip.AddrPort, h http.Handler) *agent.Agent {
--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -35,6 +35,8 @@
 	term      uint64
 	// lose makes calls fail after the other side has executed them.
 	lose func(method string) bool
+	// cut is the name of the instance whose calls to others are not sent.
+	cut string
 }
 
 // instance is one member. It is its own Log.
@@ -118,6 +120,12 @@
 
 // Call implements mangokeel.Remote.
 func (k *cluster) Call(ctx context.Context, addr netip.AddrPort, method string, req, resp proto.Message) error {
+	k.mu.Lock()
+	cut := k.cut
+	k.mu.Unlock()
+	if f, ok := req.(*wire.ForwardRequest); ok && f.GetFrom() == cut {
+		return mangokeel.ErrNotSent
+	}
 	x, err := k.instances[addr.Port()-1].methods[method].Handle(ctx, req)
 	if err != nil {
 		return err
@@ -281,6 +289,15 @@
 	reply := <-replies
 	c.Assert(time.Since(start) < 500*time.Millisecond, qt.IsTrue)
 	c.Assert(reply.GetUpdate().GetTargets(), qt.Not(qt.HasLen), 0)
+
+	// The end of the node's own registration wakes it as well.
+	node.Revision = reply.GetUpdate().GetRevision()
+	go func() { replies <- k.sync(1, node) }()
+	time.Sleep(50 * time.Millisecond)
+	start = time.Now()
+	ask(k, 0, "leave", &wire.LeaveRequest{Role: wire.Role_ROLE_AGENT, Id: node.GetId(), Incarnation: node.GetIncarnation(), Gone: true}, &wire.LeaveReply{})
+	c.Assert((<-replies).GetCode(), qt.Equals, wire.Code_CODE_UNKNOWN)
+	c.Assert(time.Since(start) < 500*time.Millisecond, qt.IsTrue)
 }
 
 // Guards against a restarted instance that takes a node back to an older
--- a/internal/control/home.go
+++ b/internal/control/home.go
@@ -69,13 +69,22 @@
 		case x == 0 && len(zone) > 0:
 			zones = append(zones, zone)
 			zone = nil
-		case x != 0 && (n == nil || now.Sub(later(n.at, l.since)) <= homeSilence):
+		case x != 0 && (n == nil || l.speaks(now, n)):
 			zone = append(zone, x)
 		}
 	}
 	return slices.Concat(join(zones)...)
 }
 
+// speaks reports whether a node was heard lately. One whose control instance is
+// silent counts as heard until its lease ends. mu is held.
+func (l *leases) speaks(now time.Time, n *nodeState) bool {
+	if last, ok := l.instances[n.via]; ok && now.Sub(last) > instanceSilence {
+		return true
+	}
+	return now.Sub(later(n.at, l.since)) <= homeSilence
+}
+
 // join returns the zones with a 0 between them.
 func join(zones [][]uint32) [][]uint32 {
 	var out [][]uint32
