--- a/cmd/mangokeel/client.go
+++ b/cmd/mangokeel/client.go
@@ -16,7 +16,9 @@
 
 	"mangokeel"
 	"mangokeel/internal/jsonrpc"
+	"mangokeel/internal/process"
 	"mangokeel/internal/wire"
+	"mangokeel/pkg/settings"
 )
 
 const (
@@ -31,6 +33,9 @@
 type options struct {
 	Control string        `short:"c" long:"control" env:"MANGOKEEL_CONTROL" value-name:"IP:PORT,..." description:"control instances"`
 	Key     string        `short:"k" long:"key" env:"MANGOKEEL_KEY" value-name:"FILE" description:"file with a team's key or the operators' key"`
+	Cert    string        `long:"cert" env:"MANGOKEEL_CERT" value-name:"FILE" description:"certificate for TLS, with --cert-key and --ca"`
+	CertKey string        `long:"cert-key" env:"MANGOKEEL_CERT_KEY" value-name:"FILE" description:"key of the certificate"`
+	CA      string        `long:"ca" env:"MANGOKEEL_CA" value-name:"FILE" description:"certificate authority of the system"`
 	JSON    bool          `long:"json" description:"print JSON"`
 	Timeout time.Duration `long:"timeout" default:"20s" value-name:"DURATION" description:"limit for the whole command"`
 }
@@ -51,6 +56,12 @@
 	return strings.TrimSpace(string(b)), errors.Wrap(err, "read key")
 }
 
+// remote returns a client for calls, with TLS when the files for it are known.
+func (c *client) remote() (*jsonrpc.Client, error) {
+	opts, err := process.Calls(settings.TLS{Cert: c.Cert, Key: c.CertKey, CA: c.CA})
+	return jsonrpc.NewClient(opts...), err
+}
+
 func (c *client) instances() ([]netip.AddrPort, error) {
 	if c.Control == "" {
 		return nil, errors.New("no control instance is known; use --control or MANGOKEEL_CONTROL")
@@ -82,19 +93,24 @@
 	}
 	ctx, cancel := context.WithTimeout(c.ctx, c.Timeout)
 	defer cancel()
-	remote := jsonrpc.NewClient()
+	remote, err := c.remote()
+	if err != nil {
+		return err
+	}
 	defer remote.Close()
-	var last error
 	for {
+		var worst error
 		for _, a := range instances {
 			proto.Reset(resp)
-			if last = c.try(ctx, remote, a, method, req, resp, code); !again(last) {
-				return last
+			err := c.try(ctx, remote, a, method, req, resp, code)
+			if !again(err) {
+				return err
 			}
+			worst = worse(worst, err)
 		}
 		select {
 		case <-ctx.Done():
-			return last
+			return worst
 		case <-time.After(roundPause):
 		}
 	}
@@ -113,6 +129,27 @@
 	return &outcomeError{x.GetCode(), describe(x)}
 }
 
+// worse returns the error that says more about what may have happened: an unknown
+// outcome before a stale answer before a call that was not sent.
+func worse(a, b error) error {
+	rank := func(err error) int {
+		var outcome *outcomeError
+		switch {
+		case err == nil:
+			return 0
+		case errors.Is(err, mangokeel.ErrNotSent):
+			return 1
+		case errors.As(err, &outcome):
+			return 2
+		}
+		return 3
+	}
+	if rank(b) > rank(a) {
+		return b
+	}
+	return a
+}
+
 // again reports whether another instance may give a better answer.
 func again(err error) bool {
 	if err == nil {
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -26,11 +26,16 @@
 	sweepGap = time.Second
 	// weightPeriod is the shortest time between two weights of one target.
 	weightPeriod = 2 * time.Second
+	// releasePeriod is how often releases are proposed. Each batch changes epochs,
+	// and so costs every balancer an update; chains may shrink a second later.
+	releasePeriod = time.Second
 	// weightChange is the smallest relative change of a weight that is proposed,
 	// because each one moves buckets.
 	weightChange = 0.2
 	// maxWeight is the weight of a target that can bear its full share.
 	maxWeight = 256
+	// lagAge is the time within which a change should be in force everywhere.
+	lagAge = 2 * time.Second
 	// maxExpire bounds the nodes removed by one command.
 	maxExpire = 512
 )
@@ -157,7 +162,14 @@
 	// term is the one that since belongs to; 0 while not leading.
 	term  uint64
 	swept time.Time
-	nodes map[nodeKey]*nodeState
+	// released is when releases were proposed last.
+	released time.Time
+	nodes    map[nodeKey]*nodeState
+	// mark and next are revisions of at least one and of less than one lagAge ago.
+	mark, next uint64
+	marked     time.Time
+	// lagging counts the nodes that do not have mark in force.
+	lagging int
 	// wanted has the homes that services should have and do not.
 	wanted map[uint32]wanted
 }
@@ -213,7 +225,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !st.Leading {
-		l.term = 0
+		l.term, l.lagging = 0, 0
 		clear(l.nodes)
 		return false
 	}
@@ -230,6 +242,7 @@
 	if !c.leases.begin(now, c.log.Status()) {
 		return
 	}
+	c.leases.lag(now, uint64(c.machine.Revision()))
 	batch := &wire.CommandBatch{}
 	batch.Commands = append(batch.Commands, c.ended(now)...)
 	batch.Commands = append(batch.Commands, c.loads(now)...)
@@ -242,6 +255,21 @@
 	}
 }
 
+// lag counts the nodes that lag.
+func (l *leases) lag(now time.Time, revision uint64) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	if now.Sub(l.marked) >= lagAge {
+		l.mark, l.next, l.marked = l.next, revision, now
+	}
+	l.lagging = 0
+	for _, n := range l.nodes {
+		if n.revision < l.mark {
+			l.lagging++
+		}
+	}
+}
+
 // ended returns the command that removes the nodes whose lease ended, or none.
 func (c *Control) ended(now time.Time) []*wire.Command {
 	x := &wire.Expire{}
@@ -288,6 +316,7 @@
 	c.leases.mu.Lock()
 	defer c.leases.mu.Unlock()
 	weights := &wire.Weights{}
+	releasing := now.Sub(c.leases.released) >= releasePeriod
 	var out []*wire.Command
 	for k, n := range c.leases.nodes {
 		if k.role != agentRole {
@@ -304,10 +333,16 @@
 		if w, ok := n.weigh(now, t); ok {
 			weights.Weights = append(weights.Weights, w)
 		}
-		if n.release != nil && len(t.GetHeld()) > 0 {
+		if len(t.GetPacked()) == 0 {
+			n.release = nil
+		}
+		if n.release != nil && releasing {
 			out = append(out, &wire.Command{Body: &wire.Command_Release{Release: n.release}})
+			n.release = nil
 		}
-		n.release = nil
+	}
+	if len(out) > 0 {
+		c.leases.released = now
 	}
 	slices.SortFunc(weights.GetWeights(), func(a, b *wire.Weight) int { return cmp.Compare(a.GetHandle(), b.GetHandle()) })
 	if len(weights.GetWeights()) > 0 {
--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -188,3 +188,66 @@
 	b.append(2, 2, 2, 2, nil)
 	qt.Assert(t, b.e.core.eligible(), qt.IsFalse)
 }
+
+// Guards against a manual recovery that loses entries, and against an instance of
+// the old cluster that joins the new one.
+func TestReform(t *testing.T) {
+	b := newBench(t)
+	b.append(2, 1, 1, 0, nil, 2, 2)
+	cfg := Config{Name: "c0", Address: netip.MustParseAddrPort("127.0.0.1:1")}
+	qt.Assert(t, Reform(b.disk, cfg), qt.IsNil)
+	b.open()
+	qt.Assert(t, b.e.core.admit(1, "x", "c0"), qt.IsFalse)
+	b.now = b.now.Add(2 * maxElection)
+	b.e.core.tick(b.now)
+	qt.Assert(t, b.e.flush(), qt.IsNil)
+	qt.Assert(t, b.e.core.settled(), qt.IsTrue)
+	qt.Assert(t, b.e.applied, qt.Equals, uint64(5))
+	qt.Assert(t, b.e.core.membership.GetFormer(), qt.HasLen, 2)
+	qt.Assert(t, Reform(&disk.Fake{}, cfg), qt.ErrorIs, ErrMember)
+}
+
+// Guards against a leader that collects entries without end while no follower
+// confirms them.
+func TestUncommittedLimit(t *testing.T) {
+	b := newBench(t)
+	b.win()
+	_, err := b.e.core.propose(b.now, make([][]byte, uncommittedLimit))
+	qt.Assert(t, err, qt.IsNil)
+	_, err = b.e.core.propose(b.now, [][]byte{nil})
+	qt.Assert(t, err, qt.ErrorIs, ErrBusy)
+}
+
+// Guards against two candidates that refuse each other for good: one with the lower
+// id and one with the later log (seed 203387 of TestSchedules).
+func TestCandidateWithLaterLogIsNotRefused(t *testing.T) {
+	b := newBench(t)
+	b.now = b.now.Add(2 * maxElection)
+	b.e.core.tick(b.now)
+	pre := func(lastTerm uint64) bool {
+		return b.step(&wire.VoteRequest{
+			Phase: wire.Phase_PHASE_PRE, Cluster: "x", From: "c1", To: "c0", Term: 2, LastIndex: 1, LastTerm: lastTerm,
+		}).(*wire.VoteReply).GetGranted()
+	}
+	qt.Assert(t, b.e.core.role, qt.Equals, preCandidate)
+	qt.Assert(t, pre(1), qt.IsFalse)
+	qt.Assert(t, pre(2), qt.IsTrue)
+	b.now = b.now.Add(heartbeatInterval)
+	qt.Assert(t, pre(1), qt.IsTrue)
+}
+
+// Guards against an instance that stops because the cluster it joins, while its log
+// is empty, has a leader in the same term as the one before (seed 300954 of
+// TestSchedules).
+func TestClusterChangesWhileEmpty(t *testing.T) {
+	b := newBench(t)
+	b.disk = &disk.Fake{}
+	b.open()
+	id := b.e.core.id()
+	for _, x := range []string{"x", "y", "z"} {
+		r := b.step(&wire.AppendRequest{Cluster: x, From: x, To: id, Term: 2})
+		qt.Assert(t, r.(*wire.AppendReply).GetOk(), qt.IsTrue)
+	}
+	b.step(&wire.AppendRequest{Cluster: "z", From: "z", To: id, Term: 2, Entries: []*wire.Entry{{Index: 1, Term: 2}}})
+	qt.Assert(t, b.e.core.admit(1, "x", id), qt.IsFalse)
+}
