claim: report readiness under the handle that copied

Cause: between a new handle and the view that has it, a poll could report under the new handle what the old one had copied. Change: Keeper.Ready takes the agent's handle and is 0 for any other.

--- a/internal/agent/claims.go
+++ b/internal/agent/claims.go
@@ -40,7 +40,7 @@
 	if a.claims == nil {
 		return 0
 	}
-	return a.claims.Ready()
+	return a.claims.Ready(a.Handle())
 }
 
 // confirmed is called after each poll that control answered, with the time before
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -181,10 +181,15 @@
 
 // Ready returns the home epoch of the joint step for which this agent has copied
 // what it needs as a member of the next home, or 0. The agent reports it to
-// control, which ends the step only when all members of the next home have
-// reported its epoch.
-func (k *Keeper) Ready() (epoch uint64) {
-	k.locked(func() { epoch = k.member.Ready(k.timers.Now()) })
+// control under its handle own, which ends the step only when all members of the
+// next home have reported its epoch. It is 0 until the keeper knows own, so that a
+// new handle does not report what an earlier one copied.
+func (k *Keeper) Ready(own mangokeel.Handle) (epoch uint64) {
+	k.locked(func() {
+		if own == k.self {
+			epoch = k.member.Ready(k.timers.Now())
+		}
+	})
 	return epoch
 }
 
