--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -70,6 +70,8 @@
 	// callOptions are those of the listener for claims.
 	callOptions []jsonrpc.Option
 	calls       *jsonrpc.Server
+	// heard is when control last confirmed the view, in Unix nanoseconds.
+	heard atomic.Int64
 
 	udp      *net.UDPConn
 	streams  *caller.Streams
--- a/internal/agent/claims.go
+++ b/internal/agent/claims.go
@@ -15,6 +15,10 @@
 // has moved, so that no claims are lost with it. Control needs about 3 s for that.
 const homeWait = 8 * time.Second
 
+// homeSilence is the time without word from control after which a leaving agent no
+// longer waits for the home, which cannot move.
+const homeSilence = 3 * time.Second
+
 // WithClaims makes the agent serve k's calls with the given options, report its
 // readiness to control, and tell it when control has confirmed the view.
 func WithClaims(k *claim.Keeper, opts ...jsonrpc.Option) Option {
@@ -46,6 +50,7 @@
 // confirmed is called after each poll that control answered, with the time before
 // it.
 func (a *Agent) confirmed(at time.Time) {
+	a.heard.Store(at.UnixNano())
 	if a.claims != nil {
 		a.claims.Confirm(at)
 	}
@@ -53,7 +58,8 @@
 
 // holdsClaims reports whether a leaving agent has to wait for the home to move.
 func (a *Agent) holdsClaims(spent time.Duration) bool {
-	return a.claims != nil && a.claims.InHome() && spent < homeWait
+	silence := a.timers.Now().Sub(time.Unix(0, a.heard.Load()))
+	return a.claims != nil && a.claims.InHome() && spent < homeWait && silence < homeSilence
 }
 
 func (a *Agent) closeClaims() {
