--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -251,3 +251,30 @@
 	b.step(&wire.AppendRequest{Cluster: "z", From: "z", To: id, Term: 2, Entries: []*wire.Entry{{Index: 1, Term: 2}}})
 	qt.Assert(t, b.e.core.admit(1, "x", id), qt.IsFalse)
 }
+
+// Guards against a second cluster, created by the machines of the first start after
+// each of them lost its disk and was replaced by another machine.
+func TestNoSecondCluster(t *testing.T) {
+	b := newBench(t)
+	b.win()
+	b.e.core.membership.Former = []string{"127.0.0.1:9"}
+	b.now = b.now.Add(announceInterval)
+	b.sent = nil
+	b.e.core.tick(b.now)
+	qt.Assert(t, b.e.flush(), qt.IsNil)
+	m := b.sent[len(b.sent)-1]
+	qt.Assert(t, m.to, qt.Equals, netip.MustParseAddrPort("127.0.0.1:9"))
+
+	self := netip.MustParseAddrPort("127.0.0.1:1")
+	for _, known := range []bool{false, true} {
+		b.disk = &disk.Fake{}
+		b.open()
+		b.e.core.bootstrap = []netip.AddrPort{self}
+		if known {
+			qt.Assert(t, b.step(m.body).(*wire.VoteReply).GetKnown(), qt.IsTrue)
+		}
+		b.now = b.now.Add(2 * maxElection)
+		b.e.core.tick(b.now)
+		qt.Assert(t, b.e.core.empty(), qt.Equals, known)
+	}
+}
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -17,8 +17,10 @@
 	// Address is where other instances call it.
 	Address netip.AddrPort
 	// Members are the instances of the first start, this one included. They need
-	// a name and an address. The list has no effect on an initialised instance,
-	// nor where any of the others is initialised.
+	// a name and an address. The list has no effect once any of them has entries
+	// or knows of a cluster that it is not part of. It should be left out after the
+	// first start: machines that all lost their folders and cannot be reached from
+	// the cluster would create another one.
 	Members []Member
 }
 
