standin: callers record a timeline and counts for each host

Cause: a report had only totals, so a run showed neither the seconds around a fault nor the imbalance across hosts. The longest time without an answer missed a silence that lasted from the start or until the end of the load. Ruled out: counting requests by the second of their end alone; the share of answered requests would then have no value in a second in which nothing ended. Change: for each second the requests begun and those of them answered in the end, answered, refused, unknown, unanswered, broken and open flows, and the 99th percentile of the response time; flows and answered requests by host. The silence counts from the start of the load to its end.

--- a/standin/caller.go
+++ b/standin/caller.go
@@ -57,8 +57,8 @@
 	Wrong atomic.Int64
 
 	mu sync.Mutex
-	// silence is the longest time without any answer in the group, and silenceAt
-	// the time after start at which it began.
+	// silence is the longest time without any answer in the group between start and
+	// end, and silenceAt the time after start at which it began.
 	silence, silenceAt time.Duration
 	start, end         time.Time
 	// booked has the keys whose bookings were answered, notRun those that were
@@ -68,7 +68,12 @@
 	// brokenAt counts broken flows by the host that served them, over HTTP/3 and
 	// over TCP.
 	brokenAt, brokenTCP map[string]int
-	last                time.Time
+	// last is the time of the last answer, or start; zero in a group that sends no
+	// requests.
+	last     time.Time
+	timeline timeline
+	// flowsAt and answersAt count flows and answered requests by host.
+	flowsAt, answersAt map[string]int
 }
 
 // Report is the JSON form of Counts.
@@ -89,18 +94,25 @@
 	Reasons    map[string]int `json:"reasons"`
 	BrokenAt   map[string]int `json:"brokenat"`
 	BrokenTCP  map[string]int `json:"brokentcp"`
+	// Timeline has one element for each second since the start.
+	Timeline []Second `json:"timeline"`
+	// FlowsAt and AnswersAt count flows and answered requests by host.
+	FlowsAt   map[string]int `json:"flowsat"`
+	AnswersAt map[string]int `json:"answersat"`
 }
 
 // Report returns the counts so far.
 func (c *Counts) Report() Report {
 	c.mu.Lock()
 	defer c.mu.Unlock()
+	c.silent(time.Now())
 	return Report{
 		Flows: c.Flows.Load(), Broken: c.Broken.Load(),
 		Requests: c.Requests.Load(), Answered: c.Answered.Load(), Refused: c.Refused.Load(),
 		Unknown: c.Unknown.Load(), Unanswered: c.Unanswered.Load(), Wrong: c.Wrong.Load(),
 		Silence: c.silence, SilenceAt: c.silenceAt,
 		Booked: c.booked, NotRun: c.notRun, Open: c.open, Reasons: c.reasons, BrokenAt: c.brokenAt, BrokenTCP: c.brokenTCP,
+		Timeline: c.timeline.list(), FlowsAt: c.flowsAt, AnswersAt: c.answersAt,
 	}
 }
 
@@ -117,6 +129,7 @@
 func (c *Counts) broke(x *caller, kind, host string, err error) {
 	c.Broken.Add(1)
 	c.mu.Lock()
+	c.timeline.at(time.Now()).Broken++
 	at := &c.brokenAt
 	if x.tcp {
 		at, kind = &c.brokenTCP, kind+" over tcp"
@@ -129,18 +142,87 @@
 	c.because(kind, err)
 }
 
-// answered records an answer and the time since the one before it.
-func (c *Counts) answered() {
-	c.Answered.Add(1)
+// begin counts a request and returns the time at which it began.
+func (c *Counts) begin() time.Time {
+	c.Requests.Add(1)
 	c.mu.Lock()
 	defer c.mu.Unlock()
 	now := time.Now()
-	if gap := now.Sub(c.last); !c.last.IsZero() && gap > c.silence && now.Before(c.end) {
-		c.silence, c.silenceAt = gap, c.last.Sub(c.start)
+	c.timeline.begin(now)
+	return now
+}
+
+// finish records the end of a request.
+func (c *Counts) finish(v verdict, began time.Time) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	now := time.Now()
+	c.timeline.finish(v, began, now)
+	switch v {
+	case answered:
+		c.answered(now)
+	case refused:
+		c.Refused.Add(1)
+	case unknown:
+		c.Unknown.Add(1)
+	case unanswered:
+		c.Unanswered.Add(1)
+	}
+}
+
+// opened records that a flow opened.
+func (c *Counts) opened() {
+	c.Flows.Add(1)
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.timeline.flow(1, time.Now())
+}
+
+// ended records that a flow that host served ended.
+func (c *Counts) ended(host string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.timeline.flow(-1, time.Now())
+	tally(&c.flowsAt, host)
+}
+
+// ranAt records the host that answered a request.
+func (c *Counts) ranAt(host string) {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	tally(&c.answersAt, host)
+}
+
+// tally counts host in m. A flow that ended before its host was known has none.
+func tally(m *map[string]int, host string) {
+	if host == "" {
+		return
+	}
+	if *m == nil {
+		*m = map[string]int{}
 	}
+	(*m)[host]++
+}
+
+// answered records an answer and the time since the one before it. The caller
+// holds mu.
+func (c *Counts) answered(now time.Time) {
+	c.Answered.Add(1)
+	c.silent(now)
 	c.last = now
 }
 
+// silent records the time without an answer until now, or until the end of the load
+// if that was before. The caller holds mu.
+func (c *Counts) silent(now time.Time) {
+	if now.After(c.end) {
+		now = c.end
+	}
+	if gap := now.Sub(c.last); !c.last.IsZero() && gap > c.silence {
+		c.silence, c.silenceAt = gap, c.last.Sub(c.start)
+	}
+}
+
 // Run runs all callers until the load's duration has passed and the requests that
 // began before have ended.
 func (l Load) Run(ctx context.Context, c *Counts) error {
@@ -151,6 +233,10 @@
 	var wg sync.WaitGroup
 	c.start = time.Now()
 	c.end = c.start.Add(l.Duration)
+	c.timeline.start = c.start
+	if l.Bookers+l.Readers > 0 {
+		c.last = c.start
+	}
 	start := func(n int, fn func(ctx context.Context, x *caller)) {
 		for i := range n {
 			x := &caller{load: l, counts: c, end: c.end, pool: pool, tcp: i%4 == 3, id: fmt.Sprintf("%d-%d-%d", l.Address.Port(), l.Seed, i)}
@@ -262,8 +348,10 @@
 		return
 	}
 	defer resp.Body.Close()
-	x.counts.Flows.Add(1)
-	if host, err := checkFeed(resp.Body, lines); err != nil {
+	x.counts.opened()
+	host, err := checkFeed(resp.Body, lines)
+	x.counts.ended(host)
+	if err != nil {
 		x.counts.broke(x, "feed", host, err)
 	}
 }
@@ -300,14 +388,16 @@
 		return
 	}
 	defer resp.Body.Close()
-	x.counts.Flows.Add(1)
+	x.counts.opened()
+	host := resp.Header.Get("Target-Host")
 	b, err := io.ReadAll(resp.Body)
+	x.counts.ended(host)
 	want := bytes.Repeat(Pattern(downloadChunk), size/downloadChunk)
 	if err == nil && !bytes.Equal(b, want) {
 		err = errors.Newf("got %d bytes, not the %d expected", len(b), size)
 	}
 	if err != nil {
-		x.counts.broke(x, "download", resp.Header.Get("Target-Host"), err)
+		x.counts.broke(x, "download", host, err)
 	}
 }
 
@@ -327,17 +417,10 @@
 	for time.Now().Before(x.end) && ctx.Err() == nil {
 		x.sleep(ctx, time.Duration(x.rng.ExpFloat64()*float64(x.load.Pause)))
 		x.n++
-		x.counts.Requests.Add(1)
+		began := x.counts.begin()
 		v, err := do(ctx)
-		switch v {
-		case answered:
-			x.counts.answered()
-		case refused:
-			x.counts.Refused.Add(1)
-		case unknown:
-			x.counts.Unknown.Add(1)
-		case unanswered:
-			x.counts.Unanswered.Add(1)
+		x.counts.finish(v, began)
+		if v == unanswered {
 			x.counts.because("request", err)
 		}
 	}
@@ -349,6 +432,10 @@
 	if v == answered && !strings.Contains(string(body), " "+id+"\n") {
 		x.counts.Wrong.Add(1)
 	}
+	if v == answered {
+		host, _, _ := strings.Cut(string(body), " ")
+		x.counts.ranAt(host)
+	}
 	return v, err
 }
 
@@ -363,6 +450,7 @@
 	defer x.counts.mu.Unlock()
 	switch v {
 	case answered:
+		tally(&x.counts.answersAt, receipt.Host)
 		x.counts.booked = append(x.counts.booked, id)
 	case refused:
 		x.counts.notRun = append(x.counts.notRun, id)
