standin: plots and a page of figures from runs with real processes

Cause: a soak printed one line of counts and deleted the rest, so that nobody saw imbalance, service during moves of availability zones, or the seconds around a fault. Ruled out: a row only for the services of the zone's team, because the events do not name it; the others show whether a move affects them. Change: soak.sh writes events.tsv, and with OUT=DIR keeps reports, events, plots and the page, also when the verdict is a failure. "standin report" writes SVG plots with event marks and a Markdown page. It fails on missing, empty or inconsistent data. The verdict of the soak is unchanged.

--- a/Makefile
+++ b/Makefile
@@ -38,8 +38,9 @@
 	bash standin/demo.sh $(BIN)
 
 # soak runs random faults against real processes: make soak SEED=1 DURATION=60
+# With OUT=DIR it keeps the callers' reports in DIR and writes plots and a page there.
 soak: build
-	bash standin/soak.sh $(BIN) $(DURATION) $(SEED)
+	OUT='$(OUT)' bash standin/soak.sh $(BIN) $(DURATION) $(SEED)
 
 # measure prints what control costs each kind of node.
 measure: build
--- a/cmd/standin/main.go
+++ b/cmd/standin/main.go
@@ -20,6 +20,7 @@
 	Caller  callerCommand  `command:"caller" description:"send requests and check the responses"`
 	Cert    certCommand    `command:"cert" description:"write a certificate for tests"`
 	Verdict verdictCommand `command:"verdict" description:"compare the callers' reports with the targets' ledgers"`
+	Report  reportCommand  `command:"report" description:"write plots and a page of figures from the callers' reports"`
 }
 
 func main() {
--- a/standin/soak.sh
+++ b/standin/soak.sh
@@ -3,6 +3,9 @@
 # depends only on the seed, and prints one line of counts. Flows may break only on
 # hosts whose agent was killed or whose availability zone was taken out, and over TCP
 # when a balancer was killed.
+# The faults are written to events.tsv: seconds since the load began, tab, text.
+# With OUT=DIR in the environment, the callers' reports and the events are kept in DIR
+# together with plots and a page of figures, also when the verdict is a failure.
 # Usage: soak.sh BIN [SECONDS] [SEED]
 set -euo pipefail
 
@@ -13,12 +16,28 @@
 source "$(dirname "$0")/system.sh"
 
 echo "$name: seed=$SEED seconds=$seconds"
+# now prints microseconds; the locale may put a comma into EPOCHREALTIME.
+now() { echo "${EPOCHREALTIME//[.,]/}"; }
+began=$(now)
+: >"$dir/events.tsv"
 load
 RANDOM=$SEED
 faulty=()
 allow=(--unknown)
 
-say() { echo "$name: t=$((SECONDS - begin)) $*"; }
+say() {
+  local ms=$((($(now) - began) / 1000))
+  echo "$name: t=$((ms / 1000)) $*"
+  printf '%d.%03d\t%s\n' $((ms / 1000)) $((ms % 1000)) "$*" >>"$dir/events.tsv"
+}
+keep() {
+  [ -n "${OUT:-}" ] || return 0
+  mkdir -p "$OUT"
+  local n files=()
+  for n in dispatch manuals orders patterns; do files+=(--report "$OUT/$n.json"); done
+  cp "$dir"/{dispatch,manuals,orders,patterns}.json "$dir/events.tsv" "$OUT/"
+  "$bin/standin" report "${files[@]}" --events "$OUT/events.tsv" --out "$OUT"
+}
 pick() { picked=$((RANDOM % $1 + 1)); }
 try() { for _ in 1 2 3 4 5; do "$@" >/dev/null 2>&1 && return 0; sleep 0.5; done; say "failed: $*"; return 1; }
 
@@ -113,4 +132,7 @@
   restart_stopped
 done
 for p in "${callers[@]}"; do wait "$p"; done
-"$bin/standin" verdict --name "$name" "${allow[@]}" "${faulty[@]}" "${reports[@]}" "${ledgers[@]}"
+verdict=0
+"$bin/standin" verdict --name "$name" "${allow[@]}" "${faulty[@]}" "${reports[@]}" "${ledgers[@]}" || verdict=$?
+keep
+exit "$verdict"
