standin: a download's handler ends with its last byte

The response was complete by its length, so the agent sent a read on the same connection, which waited for the handler; the limiter then took the target for collapsed. Ruled out: refusals and lost packets: a trial that logged slow tries showed them answered on the first try, over TCP and QUIC and by all three hosts. Change: no pause after the last chunk, and a test that fails without it.

An agent still meets such a wait behind a real target whose handler works on after its last byte.

--- a/standin/target.go
+++ b/standin/target.go
@@ -217,6 +217,11 @@
 			return
 		}
 		_ = http.NewResponseController(w).Flush()
+		// The response is complete for the agent, which may send the next request on
+		// this connection; it would wait until the handler returns.
+		if sent+downloadChunk >= size {
+			return
+		}
 		select {
 		case <-time.After(pause):
 		case <-r.Context().Done():
