standin: the report counts refused tries and hosts that served nothing

Cause: callers send a refused request again, so the count of refused requests hid the rejections. Ruled out: the list of targets from the ledgers, because the report is made from files after the processes have ended.

--- a/standin/caller.go
+++ b/standin/caller.go
@@ -170,6 +170,13 @@
 	}
 }
 
+// rejected records a try that was refused as not run.
+func (c *Counts) rejected() {
+	c.mu.Lock()
+	defer c.mu.Unlock()
+	c.timeline.at(time.Now()).Rejected++
+}
+
 // opened records that a flow opened.
 func (c *Counts) opened() {
 	c.Flows.Add(1)
@@ -487,6 +494,9 @@
 		default:
 			last, why = unanswered, errors.Newf("status %d: %.80s", r.status, r.body)
 		}
+		if err == nil && r.outcome == "not-run" {
+			x.counts.rejected()
+		}
 		if !x.sleep(ctx, 300*time.Millisecond) {
 			return last, nil, why
 		}
--- a/standin/report/figures.go
+++ b/standin/report/figures.go
@@ -58,7 +58,7 @@
 }
 
 // Imbalance returns the maximum over the mean of counts by host. The mean is over
-// hosts, the number of hosts that served any flow or request. It is 0 without data.
+// hosts, the number of hosts of the service. It is 0 without data.
 func Imbalance(counts map[string]int, hosts int) float64 {
 	sum, most := 0, 0
 	for _, n := range counts {
@@ -71,8 +71,8 @@
 	return float64(most) * float64(hosts) / float64(sum)
 }
 
-// Hosts returns the number of hosts that served any flow or request.
-func (s *Service) Hosts() int {
+// seen returns the number of hosts that served any flow or request.
+func (s *Service) seen() int {
 	seen := map[string]bool{}
 	for h := range s.FlowsAt {
 		seen[h] = true
@@ -96,6 +96,15 @@
 	Answered int64
 }
 
+// Rejected returns the number of tries that were refused as not run.
+func (s *Service) Rejected() int64 {
+	var n int64
+	for _, sec := range s.Timeline {
+		n += sec.Rejected
+	}
+	return n
+}
+
 // During returns the share of answered requests during m. Seconds in which the move
 // began or ended count whole; those without requests have no share.
 func (s *Service) During(m Move) Share {
--- a/standin/report/page.go
+++ b/standin/report/page.go
@@ -42,14 +42,14 @@
 }
 
 func (r *Run) services(b *strings.Builder) {
-	b.WriteString("Imbalance is the maximum over the mean, with the mean over the hosts that served\n" +
-		"any flow or request. Broken flows include those that the faults of the run allow.\n\n" +
-		"| service | hosts | flows | broken flows | requests | answered | refused | unknown | unanswered | imbalance of flows | imbalance of requests | longest time without an answer |\n" +
-		"| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
+	b.WriteString("Imbalance is the maximum over the mean of all hosts. Broken flows include those that the faults of the run allow.\n" +
+		"A refused request was refused as not run on every try until its deadline.\n\n" +
+		"| service | hosts | flows | broken flows | requests | answered | refused | refused tries | unknown | unanswered | imbalance of flows | imbalance of requests | longest time without an answer |\n" +
+		"| --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- | --- |\n")
 	for _, s := range r.Services {
-		fmt.Fprintf(b, "| %s | %d | %d | %d | %d | %d | %d | %d | %d | %s | %s | %s |\n",
-			s.Name, s.Hosts(), s.Flows, s.Broken, s.Requests, s.Answered, s.Refused, s.Unknown, s.Unanswered,
-			ratio(Imbalance(s.FlowsAt, s.Hosts())), ratio(Imbalance(s.AnswersAt, s.Hosts())), s.silence())
+		fmt.Fprintf(b, "| %s | %d | %d | %d | %d | %d | %d | %d | %d | %d | %s | %s | %s |\n",
+			s.Name, s.Hosts, s.Flows, s.Broken, s.Requests, s.Answered, s.Refused, s.Rejected(), s.Unknown, s.Unanswered,
+			ratio(Imbalance(s.FlowsAt, s.Hosts)), ratio(Imbalance(s.AnswersAt, s.Hosts)), s.silence())
 	}
 }
 
--- a/standin/report/plot.go
+++ b/standin/report/plot.go
@@ -50,7 +50,7 @@
 	return names, draw("p99", "99th percentile of the response time", "ms", r.times())
 }
 
-// requests returns the lines of answered and refused requests.
+// requests returns the lines of answered and refused requests and of refused tries.
 func (s *Service) requests() []series {
 	if s.Requests == 0 {
 		return nil
@@ -58,6 +58,7 @@
 	return []series{
 		{"answered", each(s.Timeline, func(t standin.Second) float64 { return float64(t.Answered) })},
 		{"refused", each(s.Timeline, func(t standin.Second) float64 { return float64(t.Refused) })},
+		{"refused tries", each(s.Timeline, func(t standin.Second) float64 { return float64(t.Rejected) })},
 	}
 }
 
--- a/standin/report/report.go
+++ b/standin/report/report.go
@@ -25,6 +25,9 @@
 	// Report has at least one second in its timeline, and the timeline's sums of
 	// answered requests and broken flows equal the report's counts.
 	standin.Report
+	// Hosts is the number of hosts of the service, at least the number of those that
+	// served any flow or request.
+	Hosts int
 }
 
 // Event is something that a run did to the system.
@@ -42,11 +45,13 @@
 	Events []Event
 }
 
-// Load reads the callers' reports, one file for each service, and the events.
-func Load(reports []string, events string) (Run, error) {
+// Load reads the callers' reports, one file for each service, and the events. Hosts
+// has the number of hosts by service. A service that it does not have counts the
+// hosts that served any flow or request.
+func Load(reports []string, hosts map[string]int, events string) (Run, error) {
 	var run Run
 	for _, f := range reports {
-		s, err := readService(f)
+		s, err := readService(f, hosts)
 		if err != nil {
 			return Run{}, err
 		}
@@ -63,7 +68,7 @@
 	return run, err
 }
 
-func readService(file string) (Service, error) {
+func readService(file string, hosts map[string]int) (Service, error) {
 	b, err := os.ReadFile(file)
 	if err != nil {
 		return Service{}, errors.Wrap(err, "read report")
@@ -72,6 +77,10 @@
 	if err := json.Unmarshal(b, &s.Report); err != nil {
 		return Service{}, errors.Wrapf(err, "%s: not a report", file)
 	}
+	s.Hosts = s.seen()
+	if n, ok := hosts[s.Name]; ok {
+		s.Hosts = n
+	}
 	return s, errors.Wrap(s.check(), file)
 }
 
@@ -83,6 +92,9 @@
 	if s.Flows == 0 && s.Requests == 0 {
 		return errors.New("neither flows nor requests")
 	}
+	if seen := s.seen(); s.Hosts < seen {
+		return errors.Newf("%d hosts served, of %d", seen, s.Hosts)
+	}
 	var answered, broken int64
 	for _, sec := range s.Timeline {
 		answered += sec.Answered
--- a/standin/soak.sh
+++ b/standin/soak.sh
@@ -36,7 +36,8 @@
   local n files=()
   for n in dispatch manuals orders patterns; do files+=(--report "$OUT/$n.json"); done
   cp "$dir"/{dispatch,manuals,orders,patterns}.json "$dir/events.tsv" "$OUT/"
-  "$bin/standin" report "${files[@]}" --events "$OUT/events.tsv" --out "$OUT"
+  "$bin/standin" report "${files[@]}" --hosts dispatch:7 --hosts manuals:3 --hosts orders:7 --hosts patterns:3 \
+    --events "$OUT/events.tsv" --out "$OUT"
 }
 pick() { picked=$((RANDOM % $1 + 1)); }
 try() { for _ in 1 2 3 4 5; do "$@" >/dev/null 2>&1 && return 0; sleep 0.5; done; say "failed: $*"; return 1; }
--- a/standin/timeline.go
+++ b/standin/timeline.go
@@ -25,6 +25,9 @@
 	Refused    int64 `json:"refused"`
 	Unknown    int64 `json:"unknown"`
 	Unanswered int64 `json:"unanswered"`
+	// Rejected counts the tries that were refused as not run. Callers send such a
+	// request again, so that most of them are answered in the end.
+	Rejected int64 `json:"rejected"`
 	// Broken counts the flows that broke, Open those open at the end of the second.
 	Broken int64 `json:"broken"`
 	Open   int64 `json:"open"`
