--- a/internal/agent/packet.go
+++ b/internal/agent/packet.go
@@ -93,8 +93,8 @@
 
 // send forwards a packet to another agent.
 func (a *Agent) send(d flow.Decision, h *wire.Header, payload []byte) {
-	b := buffers.Get().(*[]byte)
-	defer buffers.Put(b)
+	b := a.replies.buffers.get()
+	defer a.replies.buffers.put(b)
 	m, err := wire.AppendPacket((*b)[:0], h, payload)
 	if err != nil {
 		a.counters.writeErrors.Add(1)
--- a/internal/agent/relay.go
+++ b/internal/agent/relay.go
@@ -14,9 +14,6 @@
 // a packet and answered none since.
 const refusalKept = 3 * time.Second
 
-// datagrams are receive buffers.
-var datagrams = sync.Pool{New: func() any { return new([maxDatagram]byte) }}
-
 // relay passes the packets of a UDP service on to the target, with one connected
 // socket for each flow.
 type relay struct {
@@ -24,6 +21,9 @@
 	reg      *registration
 	replies  *replies
 	counters *counters
+	// datagrams has receive buffers of maxDatagram bytes. A buffer is taken only
+	// once a packet is there, so that idle flows have none.
+	datagrams sync.Pool
 
 	mu sync.Mutex
 	// socks has a socket for each flow of the table, opened by its first packet.
@@ -75,8 +75,11 @@
 	for {
 		var failure error
 		err := raw.Read(func(fd uintptr) bool {
-			b := datagrams.Get().(*[maxDatagram]byte)
-			defer datagrams.Put(b)
+			b, ok := r.datagrams.Get().(*[maxDatagram]byte)
+			if !ok {
+				b = new([maxDatagram]byte)
+			}
+			defer r.datagrams.Put(b)
 			n, err := syscall.Read(int(fd), b[:])
 			if errors.Is(err, syscall.EAGAIN) {
 				return false
--- a/internal/agent/reply.go
+++ b/internal/agent/reply.go
@@ -32,15 +32,23 @@
 // errNoBalancer is returned for replies while the roster has no balancer.
 var errNoBalancer = errors.New("no balancer in the roster")
 
-// buffers are send buffers of any size.
-var buffers = sync.Pool{New: func() any {
+// buffers has send buffers of any size. The zero value is ready for use.
+type buffers struct{ pool sync.Pool }
+
+func (p *buffers) get() *[]byte {
+	if b, ok := p.pool.Get().(*[]byte); ok {
+		return b
+	}
 	b := make([]byte, 0, replySize)
 	return &b
-}}
+}
+
+func (p *buffers) put(b *[]byte) { p.pool.Put(b) }
 
 // replies sends packets from the target to callers through live balancers.
 type replies struct {
-	conn *net.UDPConn
+	conn    *net.UDPConn
+	buffers buffers
 	// live are the data addresses of the roster's balancers, sorted.
 	live atomic.Pointer[[]netip.AddrPort]
 	turn atomic.Uint32
@@ -127,8 +135,8 @@
 	}
 	h := wire.Header{Kind: wire.Kind_KIND_REPLY, Service: uint32(service), Handle: uint32(handle)}
 	h.SetCaller(caller)
-	b := buffers.Get().(*[]byte)
-	defer buffers.Put(b)
+	b := r.buffers.get()
+	defer r.buffers.put(b)
 	m, err := wire.AppendPacket((*b)[:0], &h, payload)
 	if err != nil {
 		r.lost.Add(1)
