control, replica, roster, target: usual names

Cause: reading as a newcomer: speaking, heed, canvass, bury, Chill and untold need an explanation. Change: withoutSilent, followLeader, requestVotes, dropOldest, SetCold and unreported (metric mangokeel_claim_unreported_total).

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -49,8 +49,8 @@
 	Update(s *view.Service, own mangokeel.Handle)
 	// Leave makes it hand new requests over to other agents.
 	Leave()
-	// Chill tells that the target is cold.
-	Chill()
+	// SetCold tells that the target is cold.
+	SetCold()
 	// Load is its part of the report to control.
 	Load() *wire.Load
 	// Running is the number of requests that have not ended.
@@ -251,7 +251,7 @@
 		a.streams.Leave(false)
 		if a.out {
 			a.out = false
-			a.target.Chill()
+			a.target.SetCold()
 		}
 		if reg.relay == nil {
 			a.probe.check()
--- a/internal/agent/fake_test.go
+++ b/internal/agent/fake_test.go
@@ -180,14 +180,14 @@
 	for i := range n {
 		go f.back(i)
 	}
-	go f.forth()
+	go f.forward()
 	return f
 }
 
 func (f *fabric) addr() string { return f.sock.LocalAddr().String() }
 
-// forth hands each packet to the next live balancer, which sends it to an agent.
-func (f *fabric) forth() {
+// forward hands each packet to the next live balancer, which sends it to an agent.
+func (f *fabric) forward() {
 	b := make([]byte, 2048)
 	for turn := 0; ; turn++ {
 		n, caller, err := f.sock.ReadFromUDPAddrPort(b)
@@ -258,8 +258,8 @@
 func (host) Update(*view.Service, mangokeel.Handle) {}
 func (host) Leave()                                 {}
 
-// Chill implements agent.Target.
-func (host) Chill()           {}
+// SetCold implements agent.Target.
+func (host) SetCold()           {}
 func (host) Load() *wire.Load { return &wire.Load{Weight: 256} }
 func (host) Running() int     { return 0 }
 func (host) Close()           {}
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -111,7 +111,7 @@
 		Namespace: "mangokeel", Subsystem: "claim", Name: "outcomes_total", Help: "Claims by outcome.",
 	}, []string{"outcome"})
 	k.lost = prometheus.NewCounter(prometheus.CounterOpts{
-		Namespace: "mangokeel", Subsystem: "claim", Name: "untold_total", Help: "Ends of attempts that a member was not told of.",
+		Namespace: "mangokeel", Subsystem: "claim", Name: "unreported_total", Help: "Ends of attempts that a member was not told of.",
 	})
 	for _, o := range opts {
 		o(k)
--- a/internal/control/home.go
+++ b/internal/control/home.go
@@ -39,7 +39,7 @@
 	c.leases.wanted = map[uint32]wanted{}
 	var out []*wire.Command
 	for _, h := range c.machine.Homes() {
-		h.Want = c.leases.speaking(now, h.Want)
+		h.Want = c.leases.withoutSilent(now, h.Want)
 		h.Broken = h.Broken || missing(h.Home.GetNext(), h.Want)
 		w := old[h.Service]
 		if !slices.Equal(w.roster, h.Want) || w.since.IsZero() {
@@ -59,9 +59,9 @@
 	return slices.ContainsFunc(home, func(x uint32) bool { return x != 0 && !slices.Contains(other, x) })
 }
 
-// speaking returns home without the members that are silent. Those that this
+// withoutSilent returns home without the members that are silent. Those that this
 // instance has not heard yet stay. mu is held.
-func (l *leases) speaking(now time.Time, home []uint32) []uint32 {
+func (l *leases) withoutSilent(now time.Time, home []uint32) []uint32 {
 	var zones [][]uint32
 	zone := []uint32{}
 	for _, x := range append(slices.Clone(home), 0) {
@@ -70,16 +70,16 @@
 		case x == 0 && len(zone) > 0:
 			zones = append(zones, zone)
 			zone = nil
-		case x != 0 && (n == nil || l.speaks(now, n)):
+		case x != 0 && (n == nil || l.heardLately(now, n)):
 			zone = append(zone, x)
 		}
 	}
 	return slices.Concat(join(zones)...)
 }
 
-// speaks reports whether a node was heard lately. One whose control instance is
+// heardLately reports whether a node was heard lately. One whose control instance is
 // silent counts as heard until its lease ends. mu is held.
-func (l *leases) speaks(now time.Time, n *nodeState) bool {
+func (l *leases) heardLately(now time.Time, n *nodeState) bool {
 	if last, ok := l.instances[n.via]; ok && now.Sub(last) > instanceSilence {
 		return true
 	}
--- a/internal/limit/limit.go
+++ b/internal/limit/limit.go
@@ -528,8 +528,8 @@
 	}
 }
 
-// Chill treats the target as cold, as after a time without work.
-func (l *Limiter) Chill(now time.Time) {
+// SetCold treats the target as cold, as after a time without work.
+func (l *Limiter) SetCold(now time.Time) {
 	l.limit = l.cold()
 	l.health.ratio = 1
 	l.trim(now)
@@ -540,7 +540,7 @@
 	if l.limit > l.cold() {
 		l.counts.Collapses++
 	}
-	l.Chill(now)
+	l.SetCold(now)
 }
 
 func (l *Limiter) cold() float64 { return coldShare * float64(l.cfg.Slots) }
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -334,8 +334,8 @@
 	c.role, c.ballots = follower, nil
 }
 
-// heed notes a message of the present leader.
-func (c *core) heed(term uint64, id, address string) {
+// followLeader notes a message of the present leader.
+func (c *core) followLeader(term uint64, id, address string) {
 	if term == c.term() && c.role == leader {
 		broken("leaders %s and %s in term %d", c.id(), id, term)
 	}
--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -65,7 +65,7 @@
 		return
 	}
 	c.role, c.stood = preCandidate, c.now
-	c.canvass(wire.Phase_PHASE_PRE, c.term()+1)
+	c.requestVotes(wire.Phase_PHASE_PRE, c.term()+1)
 }
 
 // eligible reports whether the instance may lead. A voter that an uncommitted
@@ -86,10 +86,10 @@
 	c.dirty = true
 	c.role = candidate
 	c.resetDeadline()
-	c.canvass(wire.Phase_PHASE_REAL, c.term())
+	c.requestVotes(wire.Phase_PHASE_REAL, c.term())
 }
 
-func (c *core) canvass(phase wire.Phase, term uint64) {
+func (c *core) requestVotes(phase wire.Phase, term uint64) {
 	c.ballots = map[string]ballot{c.id(): {granted: true, cut: c.meta.GetCut()}}
 	for _, id := range voters(c.membership) {
 		if id == c.id() {
--- a/internal/replica/follower.go
+++ b/internal/replica/follower.go
@@ -14,7 +14,7 @@
 	}
 	r := &wire.AppendReply{From: c.id(), To: m.GetFrom(), Prev: m.GetPrevIndex(), Stamp: c.stamp(), Echo: m.GetStamp()}
 	if m.GetTerm() >= c.term() {
-		c.heed(m.GetTerm(), m.GetFrom(), m.GetAddress())
+		c.followLeader(m.GetTerm(), m.GetFrom(), m.GetAddress())
 		r.Ok, r.Hint = c.fits(m.GetPrevIndex(), m.GetPrevTerm())
 	}
 	if r.Ok {
@@ -104,7 +104,7 @@
 	}
 	r := &wire.SnapshotReply{From: c.id(), To: m.GetFrom(), Index: m.GetIndex(), Stamp: c.stamp(), Echo: m.GetStamp()}
 	if m.GetTerm() >= c.term() {
-		c.heed(m.GetTerm(), m.GetFrom(), m.GetAddress())
+		c.followLeader(m.GetTerm(), m.GetFrom(), m.GetAddress())
 		r.Offset, r.Done = c.collect(m)
 	}
 	r.Term = c.term()
--- a/internal/roster/journal.go
+++ b/internal/roster/journal.go
@@ -101,13 +101,13 @@
 		return !m.current(e)
 	})
 	if tombs > j.tombs {
-		j.bury(tombs - j.tombs/2)
+		j.dropOldest(tombs - j.tombs/2)
 	}
 	j.limit = 2*len(j.entries) + slack
 }
 
-// bury drops the n oldest tombstones.
-func (j *journal) bury(n int) {
+// dropOldest drops the n oldest tombstones.
+func (j *journal) dropOldest(n int) {
 	j.entries = slices.DeleteFunc(j.entries, func(e entry) bool {
 		if n == 0 || !e.gone() {
 			return false
--- a/internal/target/gate.go
+++ b/internal/target/gate.go
@@ -40,11 +40,11 @@
 	g.poll()
 }
 
-// chill sets the limit of a cold target.
-func (g *gate) chill() {
+// setCold sets the limit of a cold target.
+func (g *gate) setCold() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	g.l.Chill(g.timers.Now())
+	g.l.SetCold(g.timers.Now())
 	g.poll()
 }
 
--- a/internal/target/relay.go
+++ b/internal/target/relay.go
@@ -28,7 +28,7 @@
 // errForeign marks an answer that belongs to another request.
 var errForeign = errors.New("answer to another request")
 
-// errEndless marks an answer whose end cannot be told from a broken connection.
+// errEndless marks a response whose end cannot be told from a broken connection.
 var errEndless = errors.New("answer with neither length nor chunks")
 
 type dialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -168,11 +168,11 @@
 // is out of service.
 func (h *Handler) Leave() { h.left.Store(true) }
 
-// Chill treats the target as cold. The agent calls it when the target's availability
+// SetCold treats the target as cold. The agent calls it when the target's availability
 // zone is back in service, after a time in which it had no work.
-func (h *Handler) Chill() {
-	h.gate.chill()
-	h.weigher.chill()
+func (h *Handler) SetCold() {
+	h.gate.setCold()
+	h.weigher.setCold()
 }
 
 // Weight is the share of work that the target can bear, 0 to FullWeight: 0 while
--- a/internal/target/weight.go
+++ b/internal/target/weight.go
@@ -34,8 +34,8 @@
 	last limit.Counts
 }
 
-// chill sets the weight of a cold target.
-func (g *weigher) chill() {
+// setCold sets the weight of a cold target.
+func (g *weigher) setCold() {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	g.raised = time.Time{}
--- a/standin/soak.sh
+++ b/standin/soak.sh
@@ -95,7 +95,7 @@
   sleep 1
   start_agent "$n"
 }
-chill_target() {
+cold_target() {
   local n=$1
   say "target orders-$n turns cold"
   (exec 3<>"/dev/tcp/$net.1/$((17405 + 10 * n))" && printf 'POST /cold HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n' >&3 && cat <&3 >/dev/null) || true
@@ -126,7 +126,7 @@
     4) freeze_control "$which" ;;
     5) drain_host "$which" ;;
     6) kill_agent "$which" ;;
-    7) chill_target "$which" ;;
+    7) cold_target "$which" ;;
     8) move_zone "$which" ;;
   esac
   sleep 1
--- a/standin/target.go
+++ b/standin/target.go
@@ -82,7 +82,7 @@
 	// The health endpoint always says that all is well, as the users' ones may.
 	mux.HandleFunc("GET /health", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
 	mux.HandleFunc("GET /ledger", func(w http.ResponseWriter, _ *http.Request) { _ = json.NewEncoder(w).Encode(t.Ledger()) })
-	mux.HandleFunc("POST /cold", func(http.ResponseWriter, *http.Request) { t.Chill() })
+	mux.HandleFunc("POST /cold", func(http.ResponseWriter, *http.Request) { t.SetCold() })
 	return mux
 }
 
@@ -97,8 +97,8 @@
 	return l
 }
 
-// Chill turns the target cold.
-func (t *Target) Chill() {
+// SetCold turns the target cold.
+func (t *Target) SetCold() {
 	t.mu.Lock()
 	defer t.mu.Unlock()
 	t.served = 0
