--- a/internal/agent/fake_test.go
+++ b/internal/agent/fake_test.go
@@ -259,7 +259,7 @@
 func (host) Leave()                                 {}
 
 // SetCold implements agent.Target.
-func (host) SetCold()           {}
+func (host) SetCold()         {}
 func (host) Load() *wire.Load { return &wire.Load{Weight: 256} }
 func (host) Running() int     { return 0 }
 func (host) Close()           {}
