control: only control instances may forward commands

Cause: forward took any command from anyone who reached a control instance, so that a join, a change or a key could be proposed without a team's key. Ruled out: TLS alone, since every node has a certificate.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -322,3 +322,14 @@
 	c.Assert(u.GetTargets(), qt.HasLen, 2)
 	c.Assert(roster.Empty(k.sync(1, newer).GetUpdate()), qt.IsTrue)
 }
+
+// Guards against commands from outside that evade the teams' keys.
+func TestForwardNeedsSeal(t *testing.T) {
+	c := qt.New(t)
+	k := newCluster(c, 1, timer.Real{})
+	m := k.instances[0].methods["forward"]
+	for _, seal := range [][]byte{nil, make([]byte, sha256.Size)} {
+		_, err := m.Handle(context.Background(), &wire.ForwardRequest{Command: []byte{1}, Seal: seal})
+		c.Assert(err, qt.ErrorMatches, "the request is not sealed by a control instance")
+	}
+}
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -2,7 +2,10 @@
 
 import (
 	"context"
+	"crypto/hmac"
 	"crypto/rand"
+	"crypto/sha256"
+	"encoding/hex"
 	"sync"
 	"time"
 
@@ -79,6 +82,7 @@
 		return nil, mangokeel.ErrNotLeader
 	}
 	req.From = c.cfg.Name
+	req.Seal = c.seal(req)
 	var resp wire.ForwardReply
 	if err := c.remote.Call(ctx, st.Leader, "forward", req, &resp); err != nil {
 		return nil, err
@@ -89,8 +93,30 @@
 	return &resp, nil
 }
 
+// seal returns the seal of a request. Without it, anyone who reaches a control
+// instance could propose commands and so evade the teams' keys.
+func (c *Control) seal(req *wire.ForwardRequest) []byte {
+	key, err := hex.DecodeString(c.cfg.Operator)
+	if err != nil || len(key) == 0 {
+		return nil
+	}
+	bare := proto.CloneOf(req)
+	bare.Seal = nil
+	b, err := proto.MarshalOptions{Deterministic: true}.Marshal(bare)
+	if err != nil {
+		panic(errors.Wrap(err, "encode a forwarded request"))
+	}
+	h := hmac.New(sha256.New, key)
+	h.Write(b)
+	return h.Sum(nil)
+}
+
 // forward answers other instances. Only a leader does what is asked.
 func (c *Control) forward(ctx context.Context, req *wire.ForwardRequest) (*wire.ForwardReply, error) {
+	if !hmac.Equal(req.GetSeal(), c.seal(req)) {
+		c.metrics.denied.Inc()
+		return nil, errors.New("the request is not sealed by a control instance")
+	}
 	if !c.log.Status().Leading {
 		return &wire.ForwardReply{}, nil
 	}
