control, agent: tests of the move of homes and of cold targets after an absence

Change: TestHomesFollowTargets has a member that falls silent while the home moves; TestZoneOut expects that the target is cold when its zone is back.

--- a/internal/agent/agent_test.go
+++ b/internal/agent/agent_test.go
@@ -156,7 +156,7 @@
 	ctl := newControl(wire.Protocol_PROTOCOL_HTTP)
 	f := newFabric(t, ctl, 2)
 	target, _ := listen(t)
-	newAgent(t, ctl, target, lines("a", 10_000, 10*time.Millisecond))
+	a := newAgent(t, ctl, target, lines("a", 10_000, 10*time.Millisecond))
 	resp, err := client(t).Get("https://" + f.addr())
 	c.Assert(err, qt.IsNil)
 	defer resp.Body.Close()
@@ -165,6 +165,13 @@
 	_, err = io.Copy(io.Discard, resp.Body)
 	c.Assert(err, qt.ErrorMatches, ".*availability zone out of service.*")
 	c.Assert(time.Since(begin) < 2*time.Second, qt.IsTrue)
+	// The target had no work while its zone was out, so it comes back cold.
+	handle := uint32(a.Handle())
+	ctl.change(func(u *wire.Update) {
+		u.Services[0].Zones = []string{"plaisance"}
+		without(u, handle)
+	})
+	eventually(t, "cold target", func() bool { return ctl.cold.Load() == 1 })
 }
 
 // stream opens a relayed TCP connection to a target's agent.
--- a/internal/agent/fake_test.go
+++ b/internal/agent/fake_test.go
@@ -41,6 +41,9 @@
 
 // control is a control instance and, through route, what its balancers know.
 type control struct {
+	// cold counts the calls of SetCold.
+	cold atomic.Int32
+
 	mu      sync.Mutex
 	state   *wire.Update
 	view    view.View
@@ -253,13 +256,16 @@
 }
 
 // host runs requests without limits.
-type host struct{ http.Handler }
+type host struct {
+	http.Handler
+	ctl *control
+}
 
 func (host) Update(*view.Service, mangokeel.Handle) {}
 func (host) Leave()                                 {}
 
 // SetCold implements agent.Target.
-func (host) SetCold()         {}
+func (h host) SetCold()       { h.ctl.cold.Add(1) }
 func (host) Load() *wire.Load { return &wire.Load{Weight: 256} }
 func (host) Running() int     { return 0 }
 func (host) Close()           {}
@@ -272,7 +278,7 @@
 		Name: "host", Zone: "plaisance", Service: "/sieste/services/dispatch", Address: local, Target: target,
 		Control: []netip.AddrPort{local}, Cert: filepath.Join(dir, "cert.pem"), Key: filepath.Join(dir, "key.pem"),
 	}
-	a, err := agent.New(cfg, c, host{h})
+	a, err := agent.New(cfg, c, host{h, c})
 	qt.Assert(t, err, qt.IsNil)
 	t.Cleanup(func() {
 		s := a.Status()
--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -228,7 +228,8 @@
 }
 
 // Guards against a joint claim home that ends before every new member is ready,
-// and against one that waits for a member that has left.
+// against one that waits for a member that has left, and against a move that waits
+// for a silent member until its lease ends.
 func TestHomesFollowTargets(t *testing.T) {
 	c := qt.New(t)
 	x := newClock(c, 1)
@@ -256,4 +257,15 @@
 	all(time.Second, first, second)
 	c.Assert(home().GetNow(), qt.DeepEquals, []uint32{first.GetId(), second.GetId()})
 	c.Assert(home().GetNext(), qt.HasLen, 0)
+
+	// The second one falls silent while the home takes in a fourth.
+	fourth := x.enter(0, 4)
+	all(2*time.Second, first, fourth)
+	c.Assert(x.present(second), qt.IsTrue)
+	c.Assert(home().GetNext(), qt.DeepEquals, []uint32{first.GetId(), fourth.GetId()})
+	first.Ready, fourth.Ready = home().GetEpoch(), home().GetEpoch()
+	all(750*time.Millisecond, first, fourth)
+	c.Assert(x.present(second), qt.IsTrue)
+	c.Assert(home().GetNow(), qt.DeepEquals, []uint32{first.GetId(), fourth.GetId()})
+	c.Assert(home().GetNext(), qt.HasLen, 0)
 }
