--- a/cmd/agent/main.go
+++ b/cmd/agent/main.go
@@ -21,12 +21,12 @@
 		return err
 	}
 	remote := jsonrpc.NewClient(append(calls, jsonrpc.WithRegisterer(p.Registry))...)
-	k := claim.NewKeeper(remote, claim.WithLogger(p.Log), claim.WithRegistry(p.Registry))
-	h, err := target.New(cfg.Target, target.WithLogger(p.Log), target.WithRegistry(p.Registry), target.WithClaims(k))
+	k := claim.NewKeeper(remote, claim.WithLogger(p.Log), claim.WithRegisterer(p.Registry))
+	h, err := target.New(cfg.Target, target.WithLogger(p.Log), target.WithRegisterer(p.Registry), target.WithClaims(k))
 	if err != nil {
 		return err
 	}
-	a, err := agent.New(cfg, remote, h, agent.WithLog(p.Log), agent.WithClaims(k, calls...))
+	a, err := agent.New(cfg, remote, h, agent.WithLogger(p.Log), agent.WithClaims(k, calls...))
 	if err != nil {
 		return err
 	}
--- a/cmd/control/main.go
+++ b/cmd/control/main.go
@@ -35,7 +35,7 @@
 		return err
 	}
 	c := control.New(cfg, machine, node, remote, timer.Real{},
-		control.WithLogger(p.Log), control.WithRegistry(p.Registry), control.WithMembers(node))
+		control.WithLogger(p.Log), control.WithRegisterer(p.Registry), control.WithMembers(node))
 	methods := c.Methods()
 	maps.Copy(methods, node.Methods())
 	srv, err := jsonrpc.Listen(cfg.Address, methods, calls...)
--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -2,7 +2,7 @@
 // control, owns the flows that reach it, and stands for the service towards
 // callers: it ends their QUIC and HTTP connections, or relays their datagrams.
 //
-//	a, err := agent.New(cfg, remote, target, agent.WithLog(log))
+//	a, err := agent.New(cfg, remote, target, agent.WithLogger(log))
 //	err = a.Run()  // returns after Stop, when all flows have ended
 //
 // The parts are: the data socket, which asks package flow about each packet; the
@@ -106,8 +106,8 @@
 // Option changes an Agent.
 type Option func(*Agent)
 
-// WithLog sets the logger.
-func WithLog(l log.Logger) Option { return func(a *Agent) { a.log = l } }
+// WithLogger sets the logger.
+func WithLogger(l log.Logger) Option { return func(a *Agent) { a.log = l } }
 
 // WithTimers sets the timer service.
 func WithTimers(t mangokeel.Timers) Option { return func(a *Agent) { a.timers = t } }
--- a/internal/claim/keeper.go
+++ b/internal/claim/keeper.go
@@ -100,8 +100,8 @@
 // WithLogger sets the logger for changes of the home.
 func WithLogger(l log.Logger) Option { return func(k *Keeper) { k.log = l } }
 
-// WithRegistry adds the keeper's metrics to r.
-func WithRegistry(r prometheus.Registerer) Option { return func(k *Keeper) { k.register(r) } }
+// WithRegisterer adds the keeper's metrics to r.
+func WithRegisterer(r prometheus.Registerer) Option { return func(k *Keeper) { k.register(r) } }
 
 // NewKeeper returns a keeper that calls other agents through remote. It abstains
 // until Update has told it of a home.
--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -75,8 +75,8 @@
 // WithLogger sets the logger for changes of state.
 func WithLogger(l kitlog.Logger) Option { return func(c *Control) { c.logger = l } }
 
-// WithRegistry registers the metrics.
-func WithRegistry(r prometheus.Registerer) Option {
+// WithRegisterer registers the metrics.
+func WithRegisterer(r prometheus.Registerer) Option {
 	return func(c *Control) { c.metrics.register(r, c) }
 }
 
--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -183,7 +183,7 @@
 	c := qt.New(t)
 	x := newClock(c, 2)
 	registry := prometheus.NewRegistry()
-	control.WithRegistry(registry)(x.instances[0].control)
+	control.WithRegisterer(registry)(x.instances[0].control)
 	x.set(0, operatorKey, "a", "sieste", 0, dispatch, document)
 	node := x.enter(0, 1)
 	x.run(500*time.Millisecond, 1, node)
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -96,8 +96,8 @@
 // WithLogger sets the logger for changes of the target's state.
 func WithLogger(l log.Logger) Option { return func(h *Handler) { h.log = l } }
 
-// WithRegistry adds the handler's metrics to r.
-func WithRegistry(r prometheus.Registerer) Option { return func(h *Handler) { h.registry = r } }
+// WithRegisterer adds the handler's metrics to r.
+func WithRegisterer(r prometheus.Registerer) Option { return func(h *Handler) { h.registry = r } }
 
 // WithClaims makes the handler claim keys through k, which it keeps up to date.
 func WithClaims(k *claim.Keeper) Option { return func(h *Handler) { h.claims = k } }
