control, roster, standin: one rule for broken homes, one way to turn a target cold

Cause: reading the whole change: roster.Home.Broken repeated what control derives again from the targets that are not silent; withoutSilent split a home into zones only to join them; two scripts sent the same request. Change: control derives it with missing; withoutSilent is one pass; turn_cold is in system.sh. Behaviour is the same: the wanted home without silent targets is a part of the one with them, so the old condition was implied by the new one.

--- a/internal/control/home.go
+++ b/internal/control/home.go
@@ -40,7 +40,6 @@
 	var out []*wire.Command
 	for _, h := range c.machine.Homes() {
 		h.Want = c.leases.withoutSilent(now, h.Want)
-		h.Broken = h.Broken || missing(h.Home.GetNext(), h.Want)
 		w := old[h.Service]
 		if !slices.Equal(w.roster, h.Want) || w.since.IsZero() {
 			w = wanted{h.Want, now}
@@ -62,19 +61,23 @@
 // withoutSilent returns home without the members that are silent. Those that this
 // instance has not heard yet stay. mu is held.
 func (l *leases) withoutSilent(now time.Time, home []uint32) []uint32 {
-	var zones [][]uint32
-	zone := []uint32{}
-	for _, x := range append(slices.Clone(home), 0) {
-		n := l.nodes[nodeKey{agentRole, x}]
-		switch {
-		case x == 0 && len(zone) > 0:
-			zones = append(zones, zone)
-			zone = nil
-		case x != 0 && (n == nil || l.heardLately(now, n)):
-			zone = append(zone, x)
+	var out []uint32
+	next := false // whether the zone of the next member differs from the last one's
+	for _, x := range home {
+		if x == 0 {
+			next = true
+			continue
+		}
+		if n := l.nodes[nodeKey{agentRole, x}]; n != nil && !l.heardLately(now, n) {
+			continue
+		}
+		if next && len(out) > 0 {
+			out = append(out, 0)
 		}
+		next = false
+		out = append(out, x)
 	}
-	return slices.Concat(join(zones)...)
+	return out
 }
 
 // heardLately reports whether a node was heard lately. One whose control instance is
@@ -86,18 +89,6 @@
 	return now.Sub(later(n.at, l.since)) <= homeSilence
 }
 
-// join returns the zones with a 0 between them.
-func join(zones [][]uint32) [][]uint32 {
-	var out [][]uint32
-	for i, z := range zones {
-		if i > 0 {
-			out = append(out, []uint32{0})
-		}
-		out = append(out, z)
-	}
-	return out
-}
-
 func later(a, b time.Time) time.Time {
 	if a.After(b) {
 		return a
@@ -115,7 +106,7 @@
 	case !joint && slices.Equal(h.Home.GetNow(), h.Want):
 		// All that the home lacks is silent.
 		return nil
-	case settled && len(h.Want) > 0 && (!joint || h.Broken):
+	case settled && len(h.Want) > 0 && (!joint || missing(h.Home.GetNext(), h.Want)):
 		x.Next = h.Want
 	default:
 		return nil
--- a/internal/roster/service.go
+++ b/internal/roster/service.go
@@ -191,8 +191,6 @@
 	// Want lists the serving targets in service by availability zone, with a 0
 	// between zones.
 	Want []uint32
-	// Broken means that a member of the next home has left or is leaving.
-	Broken bool
 }
 
 // Homes returns the claim homes that are joint or not as they should be.
@@ -205,9 +203,6 @@
 			continue
 		}
 		h := Home{Service: id, Home: svc.record.GetHome(), Want: svc.wanted}
-		for _, x := range h.Home.GetNext() {
-			h.Broken = h.Broken || (x != 0 && !slices.Contains(h.Want, x))
-		}
 		if len(h.Home.GetNext()) > 0 || !slices.Equal(h.Home.GetNow(), h.Want) {
 			out = append(out, h)
 		}
--- a/standin/faults.sh
+++ b/standin/faults.sh
@@ -52,10 +52,8 @@
   start_agent dispatch-5
 }
 cold() {
-  local p
-  for p in 17405 17425 17445; do
-    (exec 3<>"/dev/tcp/$net.1/$((p + 10))" && printf 'POST /cold HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n' >&3 && cat <&3 >/dev/null) || true
-  done
+  local n
+  for n in 1 3 5; do turn_cold "$n"; done
 }
 race() { # two operators change one path from the same revision at the same time
   quiet client set '/sieste/drains/dispatch-7={}' &
--- a/standin/soak.sh
+++ b/standin/soak.sh
@@ -96,9 +96,8 @@
   start_agent "$n"
 }
 cold_target() {
-  local n=$1
-  say "target orders-$n turns cold"
-  (exec 3<>"/dev/tcp/$net.1/$((17405 + 10 * n))" && printf 'POST /cold HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n' >&3 && cat <&3 >/dev/null) || true
+  say "target orders-$1 turns cold"
+  turn_cold "$1"
 }
 move_zone() {
   local z=${zones_cnoc[$(($1 - 1))]} i
--- a/standin/system.sh
+++ b/standin/system.sh
@@ -40,6 +40,11 @@
   return 1
 }
 
+turn_cold() { # NUMBER of the host of orders whose target turns cold
+  local n=$1
+  (exec 3<>"/dev/tcp/$net.1/$((17405 + 10 * n))" && printf 'POST /cold HTTP/1.1\r\nHost: x\r\nContent-Length: 0\r\nConnection: close\r\n\r\n' >&3 && cat <&3 >/dev/null) || true
+}
+
 control=($net.1:17001 $net.1:17002 $net.1:17003)
 zones_sieste=(port-louis plaisance ebene)
 zones_cnoc=(dublin-1 dublin-2 dublin-3)
