--- a/Makefile
+++ b/Makefile
@@ -34,7 +34,7 @@
 # generate needs protoc; its output is committed, so the build does not need it.
 generate:
 	$(GO) build -o $(BIN)/protoc-gen-go google.golang.org/protobuf/cmd/protoc-gen-go
-	PATH=$(CURDIR)/$(BIN):$$PATH $(GO) generate ./internal/wire
+	PATH=$(CURDIR)/$(BIN):$$PATH $(GO) generate ./internal/wire ./internal/fleetwire
 
 demo: build
 	bash standin/demo.sh $(BIN)
--- /dev/null
+++ b/internal/fleet/enlist.go
@@ -0,0 +1,255 @@
+package fleet
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"mangokeel"
+	"mangokeel/internal/fleetwire"
+	"mangokeel/internal/replica"
+)
+
+// Timing of the membership.
+const (
+	// silence is how long a voter may be silent before another may take its place: an
+	// election and a restart fit in it.
+	silence = 2500 * time.Millisecond
+	// enlistPeriod is how often an instance asks to become a voter.
+	enlistPeriod = 300 * time.Millisecond
+	// askingLife is how long a request to become a voter counts.
+	askingLife = 3 * enlistPeriod
+	// changeTimeout bounds the wait for one membership change. The change itself goes on.
+	changeTimeout = time.Second
+	// voterLimit bounds the voters, since each change waits for a majority of them.
+	voterLimit = 9
+)
+
+// enlist notes that an instance wants to become a voter.
+func (s *Server) enlist(r *fleetwire.EnlistRequest) (*fleetwire.EnlistReply, error) {
+	addr, err := netip.ParseAddrPort(r.GetAddress())
+	if err != nil {
+		return nil, errors.Newf("address %q is not an IP address and port", r.GetAddress())
+	}
+	st := s.log.Status()
+	out := &fleetwire.EnlistReply{Members: s.members()}
+	if st.Leader.IsValid() {
+		out.Leader = st.Leader.String()
+	}
+	for _, m := range s.log.Members() {
+		out.Voter = out.GetVoter() || m.ID == r.GetId() && m.Voter
+	}
+	if !out.GetVoter() {
+		s.mu.Lock()
+		s.asking[addr] = enlisting{r.GetId(), s.timers.Now()}
+		s.mu.Unlock()
+	}
+	return out, nil
+}
+
+// lead is what the leader does regularly.
+func (s *Server) lead() {
+	if _, ok := s.leading(); !ok {
+		return
+	}
+	for _, agent := range s.registry.expire(s.timers.Now()) {
+		s.metrics.expired.Inc()
+		_ = level.Warn(s.logger).Log("msg", "lease ended", "agent", agent, "after", lease)
+	}
+	s.metrics.targets.Set(float64(s.registry.size()))
+	step := s.decide(s.log.Members())
+	if step.kind == stay {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
+	defer cancel()
+	err := s.change(ctx, step)
+	_ = level.Info(s.logger).Log("msg", "membership step", "kind", step.kind, "address", step.addr, "member", step.member, "err", err)
+}
+
+// stepKind is a kind of membership change.
+type stepKind int
+
+const (
+	stay stepKind = iota
+	admit
+	replace
+	remove
+)
+
+// String returns the kind's name.
+func (k stepKind) String() string { return [...]string{"stay", "admit", "replace", "remove"}[k] }
+
+// step is one membership change.
+type step struct {
+	kind stepKind
+	// member is the identity that leaves.
+	member string
+	// addr is the instance that joins.
+	addr netip.AddrPort
+}
+
+func (s *Server) change(ctx context.Context, x step) error {
+	switch x.kind {
+	case admit:
+		return s.log.Admit(ctx, x.addr)
+	case replace:
+		return s.log.Replace(ctx, x.member, x.addr)
+	case remove:
+		return s.log.Remove(ctx, x.member)
+	}
+	return nil
+}
+
+// decide returns the next membership change.
+func (s *Server) decide(members []replica.Member) step {
+	for _, m := range members {
+		if m.Joining && s.log.Silent(m.ID) > silence {
+			return step{kind: remove, member: m.ID}
+		}
+		if m.Joining {
+			return step{} // one change at a time
+		}
+	}
+	voters, silent := s.voters(members)
+	if x, ok := s.nextAsking(members); ok {
+		for _, m := range members {
+			if m.Address == x.addr && m.ID != x.id {
+				return step{kind: replace, member: m.ID, addr: x.addr}
+			}
+		}
+		if silent != "" {
+			return step{kind: replace, member: silent, addr: x.addr}
+		}
+		if voters < voterLimit {
+			return step{kind: admit, addr: x.addr}
+		}
+	}
+	if silent != "" && voters-1 >= 2*s.losses+1 {
+		return step{kind: remove, member: silent}
+	}
+	return step{}
+}
+
+// voters counts the voters and returns the one that was silent for the longest time above
+// the limit, if any.
+func (s *Server) voters(members []replica.Member) (n int, silent string) {
+	longest := silence
+	for _, m := range members {
+		if !m.Voter {
+			continue
+		}
+		n++
+		if d := s.log.Silent(m.ID); d > longest {
+			silent, longest = m.ID, d
+		}
+	}
+	return n, silent
+}
+
+type asker struct {
+	addr netip.AddrPort
+	id   string
+}
+
+// nextAsking returns the instance with the lowest address that asked recently and is no
+// member under its identity.
+func (s *Server) nextAsking(members []replica.Member) (asker, bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	var list []asker
+	now := s.timers.Now()
+	for addr, x := range s.asking {
+		if now.Sub(x.at) > askingLife {
+			delete(s.asking, addr)
+			continue
+		}
+		if !slices.ContainsFunc(members, func(m replica.Member) bool { return m.ID == x.id }) {
+			list = append(list, asker{addr, x.id})
+		}
+	}
+	if len(list) == 0 {
+		return asker{}, false
+	}
+	return slices.MinFunc(list, func(a, b asker) int { return a.addr.Compare(b.addr) }), true
+}
+
+// Candidate asks other control instances to be enlisted until this one is a voter, and
+// again after it was removed. Close ends it.
+type Candidate struct {
+	log    Log
+	remote mangokeel.Remote
+	self   netip.AddrPort
+	seeds  func() []netip.AddrPort
+	logger log.Logger
+	// known are instances heard of, besides the seeds.
+	known []netip.AddrPort
+	next  int
+	busy  chan struct{}
+	sub   mangokeel.Subscription
+}
+
+// NewCandidate starts to ask. seeds returns the instances that the settings name.
+func NewCandidate(l Log, remote mangokeel.Remote, timers mangokeel.Timers, self netip.AddrPort, seeds func() []netip.AddrPort, logger log.Logger) *Candidate {
+	c := &Candidate{log: l, remote: remote, self: self, seeds: seeds, logger: logger, busy: make(chan struct{}, 1)}
+	c.sub = timers.Every(enlistPeriod, func(time.Time) {
+		select {
+		case c.busy <- struct{}{}:
+		default:
+			return // the last round has not ended
+		}
+		go func() {
+			defer func() { <-c.busy }()
+			c.ask()
+		}()
+	})
+	return c
+}
+
+// Close ends the asking.
+func (c *Candidate) Close() { c.sub.Cancel() }
+
+// ask sends one request unless the instance is a voter in a log that has a leader.
+func (c *Candidate) ask() {
+	st := c.log.Status()
+	if st.Voter && st.Leader.IsValid() {
+		return
+	}
+	list := append(slices.Clone(c.seeds()), c.known...)
+	list = slices.DeleteFunc(list, func(a netip.AddrPort) bool { return a == c.self })
+	if len(list) == 0 {
+		return
+	}
+	c.next++
+	c.request(list[c.next%len(list)], st.ID)
+}
+
+func (c *Candidate) request(addr netip.AddrPort, id string) {
+	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
+	defer cancel()
+	req := &fleetwire.EnlistRequest{Id: id, Address: c.self.String()}
+	var out fleetwire.EnlistReply
+	if err := callOrDrop(ctx, c.remote, addr, "enlist", req, &out); err != nil {
+		_ = level.Debug(c.logger).Log("msg", "not enlisted", "at", addr, "err", err)
+		return
+	}
+	c.known = c.known[:0]
+	for _, m := range out.GetMembers() {
+		if a, err := netip.ParseAddrPort(m); err == nil {
+			c.known = append(c.known, a)
+		}
+	}
+	leader, err := netip.ParseAddrPort(out.GetLeader())
+	if err != nil || leader == addr || leader == c.self || out.GetVoter() {
+		return
+	}
+	// Only the leader decides.
+	if err := callOrDrop(ctx, c.remote, leader, "enlist", req, &out); err != nil {
+		_ = level.Debug(c.logger).Log("msg", "not enlisted", "at", leader, "err", err)
+	}
+}
--- /dev/null
+++ b/internal/fleet/follower.go
@@ -0,0 +1,238 @@
+package fleet
+
+import (
+	"context"
+	"net/netip"
+	"slices"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+
+	"mangokeel"
+	"mangokeel/internal/fleetwire"
+)
+
+// Timing of a follower.
+const (
+	// callTimeout is pollHold and a generous round trip.
+	callTimeout = pollHold + 400*time.Millisecond
+	// followPause separates polls that found no leader.
+	followPause = 100 * time.Millisecond
+)
+
+// Follower keeps a node's View current by polling the control instance that leads.
+type Follower struct {
+	view   *View
+	remote mangokeel.Remote
+	logger log.Logger
+	node   string
+	seeds  func() []netip.AddrPort
+	// announce returns the node's announcement, or nil.
+	announce func() *fleetwire.Announcement
+	changed  func(*State)
+
+	mu sync.Mutex
+	// gone is an announcement to end.
+	gone string
+	// heard is when a leader last answered.
+	heard time.Time
+	// hurry ends a poll under way, so that the next one is sent at once.
+	hurry context.CancelFunc
+	again bool
+
+	// The following are used by the polling goroutine only.
+	leader          netip.AddrPort
+	known           []netip.AddrPort
+	next            int
+	reign, registry uint64
+	complete        bool
+	connected       bool
+
+	ctx    context.Context
+	cancel context.CancelFunc
+	done   chan struct{}
+}
+
+// FollowerOption changes a Follower.
+type FollowerOption func(*Follower)
+
+// WithFollowerLogger sets the logger for lost and regained control.
+func WithFollowerLogger(l log.Logger) FollowerOption { return func(f *Follower) { f.logger = l } }
+
+// WithAnnouncement sets what the node announces with each poll. fn may return nil.
+func WithAnnouncement(fn func() *fleetwire.Announcement) FollowerOption {
+	return func(f *Follower) { f.announce = fn }
+}
+
+// WithChanged sets a function that is called after each change of the view.
+func WithChanged(fn func(*State)) FollowerOption { return func(f *Follower) { f.changed = fn } }
+
+// NewFollower starts to poll for a node. seeds returns the instances that the settings
+// name; all others are learned from answers.
+func NewFollower(v *View, remote mangokeel.Remote, node string, seeds func() []netip.AddrPort, opts ...FollowerOption) *Follower {
+	f := &Follower{
+		view: v, remote: remote, node: node, seeds: seeds, logger: log.NewNopLogger(),
+		announce: func() *fleetwire.Announcement { return nil },
+		changed:  func(*State) {},
+		done:     make(chan struct{}),
+	}
+	for _, o := range opts {
+		o(f)
+	}
+	f.ctx, f.cancel = context.WithCancel(context.Background())
+	go func() {
+		defer close(f.done)
+		for f.ctx.Err() == nil {
+			f.round()
+		}
+	}()
+	return f
+}
+
+// Close ends the polling.
+func (f *Follower) Close() {
+	f.cancel()
+	<-f.done
+}
+
+// Hurry makes the follower poll at once, because the node's announcement changed or
+// because there is news.
+func (f *Follower) Hurry() {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	f.again = true
+	if f.hurry != nil {
+		f.hurry()
+	}
+}
+
+// Leave ends the announcement of an agent with the next poll.
+func (f *Follower) Leave(agent string) {
+	f.mu.Lock()
+	f.gone = agent
+	f.mu.Unlock()
+	f.Hurry()
+}
+
+// Heard returns when a leader last answered; the zero value if never.
+func (f *Follower) Heard() time.Time {
+	f.mu.Lock()
+	defer f.mu.Unlock()
+	return f.heard
+}
+
+// round sends one poll.
+func (f *Follower) round() {
+	addr := f.pick()
+	if !addr.IsValid() {
+		f.rest()
+		return
+	}
+	ctx, cancel := context.WithTimeout(f.ctx, callTimeout)
+	defer cancel()
+	f.mu.Lock()
+	req := &fleetwire.PollRequest{
+		Node: f.node, Realm: f.view.State().Revision, Reign: f.reign, Registry: f.registry,
+		Wait: !f.again, Gone: f.gone,
+	}
+	f.again, f.hurry = false, cancel
+	f.mu.Unlock()
+	req.Announcement = f.announce()
+	var out fleetwire.PollReply
+	err := callOrDrop(ctx, f.remote, addr, "poll", req, &out)
+	f.mu.Lock()
+	f.hurry = nil
+	hurried := f.again
+	f.mu.Unlock()
+	switch {
+	case err != nil && hurried && errors.Is(err, context.Canceled):
+	case err != nil:
+		f.lost(addr, err)
+	case !out.GetLeading():
+		f.redirected(addr, &out)
+	default:
+		f.took(addr, req, &out)
+	}
+}
+
+// pick returns where to poll: the leader if one is known.
+func (f *Follower) pick() netip.AddrPort {
+	if f.leader.IsValid() {
+		return f.leader
+	}
+	list := slices.Concat(f.seeds(), f.known)
+	if len(list) == 0 {
+		return netip.AddrPort{}
+	}
+	f.next++
+	return list[f.next%len(list)]
+}
+
+func (f *Follower) rest() {
+	t := time.NewTimer(followPause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+	case <-f.ctx.Done():
+	}
+}
+
+func (f *Follower) lost(addr netip.AddrPort, err error) {
+	if f.connected && f.ctx.Err() == nil {
+		_ = level.Warn(f.logger).Log("msg", "control lost", "at", addr, "revision", f.view.State().Revision, "err", err)
+	}
+	f.connected = false
+	f.leader = netip.AddrPort{}
+	f.rest()
+}
+
+func (f *Follower) redirected(addr netip.AddrPort, out *fleetwire.PollReply) {
+	f.learn(out)
+	leader, err := netip.ParseAddrPort(out.GetLeader())
+	if err != nil || leader == addr {
+		f.leader = netip.AddrPort{}
+		f.rest()
+		return
+	}
+	f.leader = leader
+	if f.connected {
+		f.rest() // an instance that just lost the leadership may name itself for a moment
+	}
+}
+
+func (f *Follower) learn(out *fleetwire.PollReply) {
+	f.known = f.known[:0]
+	for _, m := range out.GetMembers() {
+		if a, err := netip.ParseAddrPort(m); err == nil {
+			f.known = append(f.known, a)
+		}
+	}
+}
+
+// took applies a leader's answer.
+func (f *Follower) took(addr netip.AddrPort, req *fleetwire.PollRequest, out *fleetwire.PollReply) {
+	f.learn(out)
+	if !f.connected {
+		_ = level.Info(f.logger).Log("msg", "control reached", "at", addr, "revision", out.GetRealm(), "targets", len(out.GetAnnouncements()))
+	}
+	f.leader, f.connected = addr, true
+	changed := f.view.apply(out)
+	f.reign, f.registry = out.GetReign(), out.GetRegistry()
+	if out.GetComplete() && !f.complete && !out.GetAll() {
+		// Records that an additive list left in place must be compared with the whole.
+		f.reign, f.registry = 0, 0
+	}
+	f.complete = out.GetComplete()
+	f.mu.Lock()
+	f.heard = time.Now()
+	if f.gone == req.GetGone() {
+		f.gone = ""
+	}
+	f.mu.Unlock()
+	if changed {
+		f.changed(f.view.State())
+	}
+}
--- /dev/null
+++ b/internal/fleet/realm.go
@@ -0,0 +1,225 @@
+// Package fleet keeps what the nodes of a deployment must agree on, and what they should
+// know of each other.
+//
+// The realm is decided by the replicated log: the operators' configuration and the zones
+// that are out of service. The registry is soft state in the leader's memory: the agents
+// that announce a target, each under a lease.
+//
+//	r := fleet.NewRealm()                       // the log's machine, on each control instance
+//	s := fleet.NewServer(r, log, members, ...)  // answers polls, enlists instances
+//	f := fleet.NewFollower(remote, seeds, ...)  // on each node: keeps a View current
+//
+// A node's View never goes back to an older revision of the realm.
+package fleet
+
+import (
+	"bytes"
+	"compress/flate"
+	"io"
+	"slices"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+	"google.golang.org/protobuf/proto"
+
+	"mangokeel"
+	"mangokeel/internal/fleetwire"
+)
+
+// Realm is the machine behind the log. It is safe for concurrent use.
+type Realm struct {
+	mu sync.Mutex
+	// state.Config.Version never falls. Routes that are gone stay as tombstones.
+	state *fleetwire.Realm
+	// changed is closed and replaced with each change.
+	changed chan struct{}
+}
+
+var _ mangokeel.Machine = (*Realm)(nil)
+
+// NewRealm returns a realm without a configuration.
+func NewRealm() *Realm {
+	return &Realm{state: &fleetwire.Realm{}, changed: make(chan struct{})}
+}
+
+// Apply implements mangokeel.Machine.
+func (m *Realm) Apply(r mangokeel.Revision, command []byte) []byte {
+	d, err := unpack(command)
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "command at revision %d", r))
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out := &fleetwire.Decided{}
+	switch x := d.GetBody().(type) {
+	case *fleetwire.Decree_Install:
+		out.Installed = m.install(r, x.Install)
+	case *fleetwire.Decree_Close:
+		m.close(r, x.Close)
+	}
+	out.Version = m.state.GetConfig().GetVersion()
+	b, err := proto.Marshal(out)
+	if err != nil {
+		panic(errors.NewAssertionErrorWithWrappedErrf(err, "result at revision %d", r))
+	}
+	return b
+}
+
+// install replaces the configuration by a newer one and marks the routes that change.
+func (m *Realm) install(r mangokeel.Revision, next *fleetwire.Installation) bool {
+	if next.GetVersion() <= m.state.GetConfig().GetVersion() {
+		return false
+	}
+	old := map[string]*fleetwire.Route{}
+	for _, x := range m.state.GetConfig().GetRoutes() {
+		old[x.GetAddress()] = x
+	}
+	for _, x := range next.GetRoutes() {
+		x.Revision = uint64(r)
+		if prev := old[x.GetAddress()]; prev != nil {
+			inherit(x, prev)
+			delete(old, x.GetAddress())
+		}
+	}
+	for _, x := range m.state.GetConfig().GetRoutes() {
+		if old[x.GetAddress()] == nil {
+			continue
+		}
+		if !x.GetGone() {
+			x = &fleetwire.Route{Address: x.GetAddress(), Gone: true, Revision: uint64(r)}
+		}
+		next.Routes = append(next.Routes, x)
+	}
+	m.state.Config = next
+	m.advance(r)
+	return true
+}
+
+// inherit carries over from the route that x replaces what outlives the change.
+func inherit(x, prev *fleetwire.Route) {
+	if !prev.GetGone() && sameShares(x, prev) {
+		x.Former, x.Revision = prev.GetFormer(), prev.GetRevision()
+		return
+	}
+	former := slices.Clone(prev.GetFormer())
+	for _, s := range prev.GetShares() {
+		former = append(former, s.GetService())
+	}
+	slices.Sort(former)
+	x.Former = slices.Compact(former)
+}
+
+func sameShares(a, b *fleetwire.Route) bool {
+	return slices.EqualFunc(a.GetShares(), b.GetShares(), func(x, y *fleetwire.Share) bool {
+		return x.GetService() == y.GetService() && x.GetWeight() == y.GetWeight()
+	})
+}
+
+func (m *Realm) close(r mangokeel.Revision, x *fleetwire.Closure) {
+	for _, z := range m.state.GetZones() {
+		if z.GetName() != x.GetZone() {
+			continue
+		}
+		if z.GetOut() != x.GetOut() && z.GetRevision() <= x.GetAfter() {
+			z.Out, z.Revision = x.GetOut(), uint64(r)
+			m.advance(r)
+		}
+		return
+	}
+	m.state.Zones = append(m.state.Zones, &fleetwire.ZoneState{Name: x.GetZone(), Out: x.GetOut(), Revision: uint64(r)})
+	m.advance(r)
+}
+
+func (m *Realm) advance(r mangokeel.Revision) {
+	m.state.Revision = uint64(r)
+	close(m.changed)
+	m.changed = make(chan struct{})
+}
+
+// Snapshot implements mangokeel.Machine.
+func (m *Realm) Snapshot() ([]byte, error) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return proto.MarshalOptions{Deterministic: true}.Marshal(m.state)
+}
+
+// Restore implements mangokeel.Machine.
+func (m *Realm) Restore(r mangokeel.Revision, snapshot []byte) error {
+	s := &fleetwire.Realm{}
+	if err := proto.Unmarshal(snapshot, s); err != nil {
+		return errors.Wrapf(mangokeel.ErrCorrupt, "snapshot at %d: %v", r, err)
+	}
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	m.state = s
+	close(m.changed)
+	m.changed = make(chan struct{})
+	return nil
+}
+
+// Config returns the number and content of the configuration. The number is 0 before the
+// first one.
+func (m *Realm) Config() (version uint64, content []byte) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.GetConfig().GetVersion(), m.state.GetConfig().GetContent()
+}
+
+// watch returns the revision and a channel that is closed at the next change.
+func (m *Realm) watch() (uint64, <-chan struct{}) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return m.state.GetRevision(), m.changed
+}
+
+// since fills in what changed after a revision. Zones and applications are few and are
+// always sent whole.
+func (m *Realm) since(revision uint64, out *fleetwire.PollReply) {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	out.Realm = m.state.GetRevision()
+	if revision >= out.GetRealm() {
+		return
+	}
+	c := m.state.GetConfig()
+	out.Whole = revision == 0
+	for _, x := range c.GetRoutes() {
+		if x.GetRevision() > revision && !(out.GetWhole() && x.GetGone()) {
+			out.Routes = append(out.Routes, proto.CloneOf(x))
+		}
+	}
+	out.Applications, out.IdleMs = c.GetApplications(), c.GetIdleMs()
+	for _, z := range m.state.GetZones() {
+		out.Zones = append(out.Zones, proto.CloneOf(z))
+	}
+}
+
+// pack encodes a command. A configuration shrinks to about a tenth.
+func pack(d *fleetwire.Decree) ([]byte, error) {
+	b, err := proto.Marshal(d)
+	if err != nil {
+		return nil, errors.Wrap(err, "encode command")
+	}
+	var out bytes.Buffer
+	w, err := flate.NewWriter(&out, flate.BestSpeed)
+	if err != nil {
+		return nil, errors.Wrap(err, "compress command")
+	}
+	if _, err := w.Write(b); err != nil {
+		return nil, errors.Wrap(err, "compress command")
+	}
+	if err := w.Close(); err != nil {
+		return nil, errors.Wrap(err, "compress command")
+	}
+	return out.Bytes(), nil
+}
+
+// unpack is the inverse of pack.
+func unpack(b []byte) (*fleetwire.Decree, error) {
+	plain, err := io.ReadAll(flate.NewReader(bytes.NewReader(b)))
+	if err != nil {
+		return nil, errors.Wrap(err, "decompress command")
+	}
+	d := &fleetwire.Decree{}
+	return d, errors.Wrap(proto.Unmarshal(plain, d), "decode command")
+}
--- /dev/null
+++ b/internal/fleet/server.go
@@ -0,0 +1,356 @@
+package fleet
+
+import (
+	"context"
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/cockroachdb/errors"
+	"github.com/go-kit/log"
+	"github.com/go-kit/log/level"
+	"google.golang.org/protobuf/proto"
+
+	"mangokeel"
+	"mangokeel/internal/fleetwire"
+	"mangokeel/internal/jsonrpc"
+	"mangokeel/internal/replica"
+	"mangokeel/internal/timer"
+)
+
+// Timing of a server.
+const (
+	// pollHold is how long a poll is held open when nothing changes. It renews a lease
+	// six times within its duration.
+	pollHold = 500 * time.Millisecond
+	// tryTimeout bounds one try of an order at the leader, so that a frozen leader is
+	// left before the operators' client gives up after a second.
+	tryTimeout = 400 * time.Millisecond
+	// retryPause separates tries while there is no leader.
+	retryPause = 20 * time.Millisecond
+	// sweepPeriod is how often the leader looks at leases and members.
+	sweepPeriod = 250 * time.Millisecond
+)
+
+// ErrUnsure means that the instance could not confirm in time that its state is current,
+// or that an order's outcome is unknown. The call can be repeated anywhere.
+var ErrUnsure = errors.New("no majority of the control instances confirmed the state in time")
+
+// Log is the replicated log with its membership. *replica.Node implements it.
+type Log interface {
+	mangokeel.Log
+	Members() []replica.Member
+	Admit(ctx context.Context, addr netip.AddrPort) error
+	Replace(ctx context.Context, old string, addr netip.AddrPort) error
+	Remove(ctx context.Context, member string) error
+	// Silent returns how long the leader has not heard of a member.
+	Silent(id string) time.Duration
+}
+
+// Server is one control instance's side of the fleet. Close ends it.
+type Server struct {
+	realm    *Realm
+	log      Log
+	remote   mangokeel.Remote
+	timers   mangokeel.Timers
+	logger   log.Logger
+	losses   int
+	registry *registry
+	metrics  *serverMetrics
+
+	mu sync.Mutex
+	// asking has the instances that want to become voters, with the time of the last
+	// request.
+	asking map[netip.AddrPort]enlisting
+
+	sweep mangokeel.Subscription
+	stop  chan struct{}
+	done  sync.WaitGroup
+	wake  chan struct{}
+}
+
+type enlisting struct {
+	id string
+	at time.Time
+}
+
+// ServerOption changes a Server.
+type ServerOption func(*Server)
+
+// WithServerLogger sets the logger for changes of state and operators' orders.
+func WithServerLogger(l log.Logger) ServerOption { return func(s *Server) { s.logger = l } }
+
+// WithServerTimers sets the timer service.
+func WithServerTimers(t mangokeel.Timers) ServerOption { return func(s *Server) { s.timers = t } }
+
+// WithLosses sets how many control instances may be lost at once. Silent voters are
+// removed while 2n+1 others remain. The default is 1.
+func WithLosses(n int) ServerOption { return func(s *Server) { s.losses = n } }
+
+// NewServer serves nodes and operators from the realm behind a log.
+func NewServer(realm *Realm, l Log, remote mangokeel.Remote, opts ...ServerOption) *Server {
+	s := &Server{
+		realm:    realm,
+		log:      l,
+		remote:   remote,
+		timers:   timer.Real{},
+		logger:   log.NewNopLogger(),
+		losses:   1,
+		registry: newRegistry(),
+		metrics:  newServerMetrics(),
+		asking:   map[netip.AddrPort]enlisting{},
+		stop:     make(chan struct{}),
+		wake:     make(chan struct{}, 1),
+	}
+	for _, o := range opts {
+		o(s)
+	}
+	s.sweep = s.timers.Every(sweepPeriod, func(time.Time) {
+		select {
+		case s.wake <- struct{}{}:
+		default:
+		}
+	})
+	s.done.Add(1)
+	go func() {
+		defer s.done.Done()
+		for {
+			select {
+			case <-s.stop:
+				return
+			case <-s.wake:
+				s.lead()
+			}
+		}
+	}()
+	return s
+}
+
+// Close ends the server.
+func (s *Server) Close() {
+	s.sweep.Cancel()
+	close(s.stop)
+	s.done.Wait()
+}
+
+// Methods returns the calls of nodes and of other control instances.
+func (s *Server) Methods() jsonrpc.Methods {
+	return jsonrpc.Methods{
+		"poll": {
+			New: func() proto.Message { return &fleetwire.PollRequest{} },
+			Handle: func(ctx context.Context, r proto.Message) (proto.Message, error) {
+				return s.poll(ctx, r.(*fleetwire.PollRequest)), nil
+			},
+		},
+		"enlist": {
+			New: func() proto.Message { return &fleetwire.EnlistRequest{} },
+			Handle: func(_ context.Context, r proto.Message) (proto.Message, error) {
+				return s.enlist(r.(*fleetwire.EnlistRequest))
+			},
+		},
+		"decree": {
+			New: func() proto.Message { return &fleetwire.DecreeRequest{} },
+			Handle: func(ctx context.Context, r proto.Message) (proto.Message, error) {
+				return s.decree(ctx, r.(*fleetwire.DecreeRequest))
+			},
+		},
+	}
+}
+
+// leading reports whether this instance leads, and prepares the registry if it does.
+func (s *Server) leading() (mangokeel.LogStatus, bool) {
+	st := s.log.Status()
+	if st.Leading {
+		s.registry.begin(st.Term, s.timers.Now())
+	}
+	return st, st.Leading
+}
+
+func (s *Server) members() (list []string) {
+	for _, m := range s.log.Members() {
+		list = append(list, m.Address.String())
+	}
+	return list
+}
+
+// poll answers a node with what changed since its own revisions.
+func (s *Server) poll(ctx context.Context, r *fleetwire.PollRequest) *fleetwire.PollReply {
+	s.metrics.polls.Inc()
+	st, ok := s.leading()
+	if !ok {
+		out := &fleetwire.PollReply{Members: s.members()}
+		if st.Leader.IsValid() {
+			out.Leader = st.Leader.String()
+		}
+		return out
+	}
+	s.announced(r)
+	if r.GetWait() {
+		s.await(ctx, r)
+	}
+	out := &fleetwire.PollReply{Leading: true, Members: s.members()}
+	s.realm.since(r.GetRealm(), out)
+	s.registry.since(r.GetReign(), r.GetRegistry(), s.timers.Now(), out)
+	return out
+}
+
+func (s *Server) announced(r *fleetwire.PollRequest) {
+	if r.GetGone() != "" && s.registry.remove(r.GetGone()) {
+		_ = level.Info(s.logger).Log("msg", "target left", "agent", r.GetGone(), "node", r.GetNode())
+	}
+	a := r.GetAnnouncement()
+	if a == nil {
+		return
+	}
+	if _, err := netip.ParseAddrPort(a.GetAgent()); err != nil || a.GetService() == "" {
+		_ = level.Warn(s.logger).Log("msg", "announcement refused", "node", r.GetNode(), "agent", a.GetAgent(), "service", a.GetService())
+		return
+	}
+	if s.registry.hear(a, s.timers.Now()) {
+		_ = level.Info(s.logger).Log("msg", "target joined", "agent", a.GetAgent(), "service", a.GetService(), "zone", a.GetZone(), "node", r.GetNode())
+	}
+}
+
+// await returns when the node lacks something or the poll was held long enough.
+func (s *Server) await(ctx context.Context, r *fleetwire.PollRequest) {
+	realm, realmChanged := s.realm.watch()
+	reign, registry, registryChanged := s.registry.watch()
+	if realm != r.GetRealm() || reign != r.GetReign() || registry != r.GetRegistry() {
+		return
+	}
+	t := time.NewTimer(pollHold)
+	defer t.Stop()
+	select {
+	case <-realmChanged:
+	case <-registryChanged:
+	case <-t.C:
+	case <-ctx.Done():
+	case <-s.stop:
+	}
+}
+
+// Confirmed waits until a majority confirmed the state after the call began and this
+// instance has applied it. It fails with ErrUnsure when ctx ends first.
+func (s *Server) Confirmed(ctx context.Context) error {
+	began := s.timers.Now()
+	for {
+		st := s.log.Status()
+		if st.Age < s.timers.Now().Sub(began) && st.Applied >= st.Committed {
+			return nil
+		}
+		if !s.pause(ctx) {
+			s.metrics.unsure.Inc()
+			return ErrUnsure
+		}
+	}
+}
+
+func (s *Server) pause(ctx context.Context) bool {
+	t := time.NewTimer(retryPause)
+	defer t.Stop()
+	select {
+	case <-t.C:
+		return true
+	case <-ctx.Done():
+		return false
+	case <-s.stop:
+		return false
+	}
+}
+
+// Read returns the present configuration. The number is 0 before the first one.
+func (s *Server) Read(ctx context.Context) (version uint64, content []byte, err error) {
+	if err := s.Confirmed(ctx); err != nil {
+		return 0, nil, err
+	}
+	version, content = s.realm.Config()
+	return version, content, nil
+}
+
+// Install makes a configuration the present one if its number is the highest. It returns
+// the number of the configuration in force. An error leaves the outcome unknown.
+func (s *Server) Install(ctx context.Context, x *fleetwire.Installation) (*fleetwire.Decided, error) {
+	d, err := s.propose(ctx, &fleetwire.Decree{Body: &fleetwire.Decree_Install{Install: x}})
+	_ = level.Info(s.logger).Log("msg", "configuration ordered", "version", x.GetVersion(), "routes", len(x.GetRoutes()),
+		"installed", d.GetInstalled(), "present", d.GetVersion(), "err", err)
+	return d, err
+}
+
+// SetZone takes a zone out of service or back in. An error leaves the outcome unknown.
+func (s *Server) SetZone(ctx context.Context, zone mangokeel.AvailabilityZone, out bool) error {
+	err := s.Confirmed(ctx)
+	if err == nil {
+		after, _ := s.realm.watch()
+		_, err = s.propose(ctx, &fleetwire.Decree{Body: &fleetwire.Decree_Close{Close: &fleetwire.Closure{Zone: string(zone), Out: out, After: after}}})
+	}
+	_ = level.Info(s.logger).Log("msg", "zone ordered", "zone", zone, "out", out, "err", err)
+	return err
+}
+
+// propose gets a command accepted through the leader. Every command may be repeated.
+func (s *Server) propose(ctx context.Context, d *fleetwire.Decree) (*fleetwire.Decided, error) {
+	b, err := pack(d)
+	if err != nil {
+		return nil, err
+	}
+	for {
+		raw, err := s.try(ctx, b)
+		if err == nil {
+			out := &fleetwire.Decided{}
+			return out, errors.Wrap(proto.Unmarshal(raw, out), "decode result")
+		}
+		s.metrics.retries.Inc()
+		if !s.pause(ctx) {
+			s.metrics.unsure.Inc()
+			return nil, errors.WithSecondaryError(ErrUnsure, err)
+		}
+	}
+}
+
+// try proposes once, here or at the leader.
+func (s *Server) try(ctx context.Context, b []byte) ([]byte, error) {
+	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	defer cancel()
+	st := s.log.Status()
+	if st.Leading {
+		raw, _, err := s.log.Propose(ctx, b)
+		return raw, err
+	}
+	if !st.Leader.IsValid() {
+		return nil, mangokeel.ErrNotLeader
+	}
+	var out fleetwire.DecreeReply
+	if err := s.call(ctx, st.Leader, "decree", &fleetwire.DecreeRequest{Command: b}, &out); err != nil {
+		return nil, err
+	}
+	if !out.GetLeading() {
+		return nil, mangokeel.ErrNotLeader
+	}
+	return out.GetResult(), nil
+}
+
+func (s *Server) call(ctx context.Context, addr netip.AddrPort, method string, req, resp proto.Message) error {
+	return callOrDrop(ctx, s.remote, addr, method, req, resp)
+}
+
+// callOrDrop gives up a connection whose peer went silent, which would hold up later
+// calls for as long as the system resends.
+func callOrDrop(ctx context.Context, remote mangokeel.Remote, addr netip.AddrPort, method string, req, resp proto.Message) error {
+	err := remote.Call(ctx, addr, method, req, resp)
+	if d, ok := remote.(interface{ Drop(addr netip.AddrPort) }); ok && errors.Is(err, context.DeadlineExceeded) {
+		d.Drop(addr)
+	}
+	return err
+}
+
+// decree answers other instances.
+func (s *Server) decree(ctx context.Context, r *fleetwire.DecreeRequest) (*fleetwire.DecreeReply, error) {
+	if !s.log.Status().Leading {
+		return &fleetwire.DecreeReply{}, nil
+	}
+	raw, rev, err := s.log.Propose(ctx, r.GetCommand())
+	if errors.Is(err, mangokeel.ErrNotLeader) {
+		return &fleetwire.DecreeReply{}, nil
+	}
+	return &fleetwire.DecreeReply{Leading: true, Result: raw, Revision: uint64(rev)}, err
+}
--- /dev/null
+++ b/internal/fleet/view.go
@@ -0,0 +1,258 @@
+package fleet
+
+import (
+	"maps"
+	"net/netip"
+	"slices"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"time"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mangokeel"
+	"mangokeel/internal/fleetwire"
+)
+
+// Target is an announced target as nodes see it.
+type Target struct {
+	// Agent is where frames for the target go. It identifies the target.
+	Agent   netip.AddrPort
+	Zone    mangokeel.AvailabilityZone
+	Service string
+	// Ready is false while the target drains.
+	Ready bool
+	// Cold is set while the target bears little.
+	Cold  bool
+	Slots int
+	Start uint64
+
+	hash uint64
+}
+
+// Share is a service's part in a route.
+type Share struct {
+	Service string
+	Weight  uint32
+}
+
+// Route sends flows to services.
+type Route struct {
+	// Shares has a positive sum of weights.
+	Shares []Share
+	// Former are services that may still hold flows of the route.
+	Former []string
+}
+
+// Allows reports whether the route sends new flows to a service.
+func (r *Route) Allows(service string) bool {
+	return slices.ContainsFunc(r.Shares, func(s Share) bool { return s.Service == service && s.Weight > 0 })
+}
+
+// Choose returns the service of a new flow. The same hash gives the same service while
+// the shares stay as they are.
+func (r *Route) Choose(hash uint64) string {
+	var sum uint64
+	for _, s := range r.Shares {
+		sum += uint64(s.Weight)
+	}
+	if sum == 0 {
+		return ""
+	}
+	// The high bits are independent of the ones that order the targets.
+	at := (hash >> 32) % sum
+	for _, s := range r.Shares {
+		if at < uint64(s.Weight) {
+			return s.Service
+		}
+		at -= uint64(s.Weight)
+	}
+	return ""
+}
+
+// Application is what the configuration says of a service.
+type Application struct {
+	// Connections is the most flows that a target holds; 0 is no limit.
+	Connections int
+	// ColdRate is what a cold target bears in requests a second.
+	ColdRate float64
+}
+
+// State is what a node knows at one moment. It is never changed.
+type State struct {
+	// Revision is that of the realm. It never falls from one State to the next.
+	Revision uint64
+	Routes   map[netip.AddrPort]*Route
+	Services map[string]Application
+	// Out has the zones out of service; Zones the revision of each zone's last change.
+	Out   map[mangokeel.AvailabilityZone]bool
+	Zones map[mangokeel.AvailabilityZone]uint64
+	Idle  time.Duration
+	// Targets is in ascending order of their agents.
+	Targets map[string][]*Target
+	// Agents finds a target by its agent.
+	Agents map[netip.AddrPort]*Target
+}
+
+// Order returns the targets of a service in the order in which they are responsible for a
+// flow: those in zone first, then by rendezvous hash. It appends to list.
+func (s *State) Order(list []*Target, service string, zone mangokeel.AvailabilityZone, flow uint64) []*Target {
+	start := len(list)
+	list = append(list, s.Targets[service]...)
+	rank := func(t *Target) uint64 {
+		h := mix(t.hash ^ flow)
+		if t.Zone == zone {
+			return h | 1<<63
+		}
+		return h &^ (1 << 63)
+	}
+	slices.SortFunc(list[start:], func(a, b *Target) int {
+		ra, rb := rank(a), rank(b)
+		switch {
+		case ra > rb:
+			return -1
+		case ra < rb:
+			return 1
+		}
+		return a.Agent.Compare(b.Agent)
+	})
+	return list
+}
+
+// mix is the finalizer of a 64-bit hash, so that single bits of the input decide all bits.
+func mix(x uint64) uint64 {
+	x ^= x >> 33
+	x *= 0xff51afd7ed558ccd
+	x ^= x >> 33
+	x *= 0xc4ceb9fe1a85ec53
+	return x ^ x>>33
+}
+
+// View holds the present State. The zero value holds an empty one.
+type View struct {
+	state atomic.Pointer[State]
+	mu    sync.Mutex
+	// announced is the registry as this node knows it, by agent.
+	announced map[string]*fleetwire.Announcement
+	routes    map[string]*fleetwire.Route
+}
+
+// State returns the present state. It is never nil.
+func (v *View) State() *State {
+	if s := v.state.Load(); s != nil {
+		return s
+	}
+	return &State{}
+}
+
+// apply takes over a leader's answer and reports whether anything changed.
+func (v *View) apply(r *fleetwire.PollReply) bool {
+	v.mu.Lock()
+	defer v.mu.Unlock()
+	old := v.State()
+	next := *old
+	changed := v.applyRealm(r, &next)
+	if v.applyRegistry(r) {
+		v.index(&next)
+		changed = true
+	}
+	if changed {
+		v.state.Store(&next)
+	}
+	return changed
+}
+
+func (v *View) applyRealm(r *fleetwire.PollReply, next *State) bool {
+	if r.GetRealm() <= next.Revision {
+		return false
+	}
+	routes := map[netip.AddrPort]*Route{}
+	if !r.GetWhole() {
+		maps.Copy(routes, next.Routes)
+	}
+	for _, x := range r.GetRoutes() {
+		a, err := netip.ParseAddrPort(x.GetAddress())
+		if err != nil {
+			continue // control checked the address before it accepted the route
+		}
+		if x.GetGone() {
+			delete(routes, a)
+			continue
+		}
+		route := &Route{Former: x.GetFormer()}
+		for _, s := range x.GetShares() {
+			route.Shares = append(route.Shares, Share{s.GetService(), s.GetWeight()})
+		}
+		routes[a] = route
+	}
+	next.Routes = routes
+	next.Services = map[string]Application{}
+	for _, x := range r.GetApplications() {
+		next.Services[x.GetName()] = Application{int(x.GetConnections()), x.GetColdRate()}
+	}
+	next.Out, next.Zones = map[mangokeel.AvailabilityZone]bool{}, map[mangokeel.AvailabilityZone]uint64{}
+	for _, z := range r.GetZones() {
+		next.Zones[mangokeel.AvailabilityZone(z.GetName())] = z.GetRevision()
+		if z.GetOut() {
+			next.Out[mangokeel.AvailabilityZone(z.GetName())] = true
+		}
+	}
+	next.Idle = time.Duration(r.GetIdleMs()) * time.Millisecond
+	next.Revision = r.GetRealm()
+	return true
+}
+
+// applyRegistry merges announcements. A list that may lack live agents removes none.
+func (v *View) applyRegistry(r *fleetwire.PollReply) bool {
+	if v.announced == nil {
+		v.announced = map[string]*fleetwire.Announcement{}
+	}
+	changed := false
+	if r.GetAll() && r.GetComplete() {
+		listed := map[string]bool{}
+		for _, a := range r.GetAnnouncements() {
+			listed[a.GetAgent()] = true
+		}
+		for agent := range v.announced {
+			if !listed[agent] {
+				delete(v.announced, agent)
+				changed = true
+			}
+		}
+	}
+	for _, agent := range r.GetRemoved() {
+		if v.announced[agent] != nil {
+			delete(v.announced, agent)
+			changed = true
+		}
+	}
+	for _, a := range r.GetAnnouncements() {
+		old := v.announced[a.GetAgent()]
+		v.announced[a.GetAgent()] = a
+		changed = changed || old == nil || old.GetSerial() != a.GetSerial() || old.GetStart() != a.GetStart()
+	}
+	return changed
+}
+
+// index rebuilds the targets of a state.
+func (v *View) index(s *State) {
+	s.Targets, s.Agents = map[string][]*Target{}, map[netip.AddrPort]*Target{}
+	for _, a := range v.announced {
+		agent, err := netip.ParseAddrPort(a.GetAgent())
+		if err != nil || a.GetService() == "" {
+			continue // the leader checks announcements
+		}
+		t := &Target{
+			Agent: agent, Zone: mangokeel.AvailabilityZone(a.GetZone()), Service: a.GetService(),
+			Ready: a.GetState() == fleetwire.State_STATE_READY, Cold: a.GetCold(),
+			Slots: int(a.GetLoad().GetSlots()), Start: a.GetStart(),
+			hash: xxhash.Sum64String(a.GetAgent()),
+		}
+		s.Targets[t.Service] = append(s.Targets[t.Service], t)
+		s.Agents[agent] = t
+	}
+	for _, list := range s.Targets {
+		slices.SortFunc(list, func(a, b *Target) int { return strings.Compare(a.Agent.String(), b.Agent.String()) })
+	}
+}
--- /dev/null
+++ b/internal/packet/balancer.go
@@ -0,0 +1,270 @@
+package packet
+
+import (
+	"net/netip"
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+
+	"mangokeel"
+	"mangokeel/internal/fleet"
+	"mangokeel/internal/fleetwire"
+)
+
+// Limits of a balancer.
+const (
+	// hintLimit bounds the hints in memory: 100,000 flows take about 15 MB.
+	hintLimit = 100_000
+	// hintLife is how long an unused hint is kept: the longest pause that callers make
+	// in a flow is the idle time-out of 15 s.
+	hintLife = 20 * time.Second
+	// suspectCopies is how many copies of opening packets an agent may leave without an
+	// effect before it counts as silent.
+	suspectCopies = 2
+	// suspectTime is how long no flow is opened through a silent agent: a lease.
+	suspectTime = 3 * time.Second
+	// copyWindow is the time in which copies are counted. Callers send copies 200 ms and
+	// 600 ms after the first packet.
+	copyWindow = time.Second
+)
+
+// BalancerConfig says who a balancer is.
+type BalancerConfig struct {
+	Zone mangokeel.AvailabilityZone
+	// Hints is where agents send hints to this balancer.
+	Hints netip.AddrPort
+}
+
+// hint says which agent holds a flow.
+type hint struct {
+	agent netip.AddrPort
+	seen  time.Time
+}
+
+// patience counts the copies that callers sent because an agent did not answer.
+type patience struct {
+	copies int
+	// since is when copies was last 0.
+	since time.Time
+	// until is the end of the time in which the agent counts as silent.
+	until time.Time
+}
+
+// Balancer hands callers' packets to agents. It is safe for concurrent use.
+type Balancer struct {
+	cfg    BalancerConfig
+	codec  mangokeel.Codec
+	view   *fleet.View
+	link   Link
+	now    func() time.Time
+	events *Events
+	newer  func()
+
+	mu       sync.Mutex
+	hints    map[mangokeel.Flow]hint
+	patience map[netip.AddrPort]*patience
+	frame    fleetwire.Frame
+	buf      []byte
+	order    []*fleet.Target
+	origin   []byte
+}
+
+// BalancerOption changes a Balancer.
+type BalancerOption func(*Balancer)
+
+// WithBalancerClock sets the clock, for tests.
+func WithBalancerClock(now func() time.Time) BalancerOption {
+	return func(b *Balancer) { b.now = now }
+}
+
+// WithBalancerEvents sets where decisions are counted and logged.
+func WithBalancerEvents(e *Events) BalancerOption { return func(b *Balancer) { b.events = e } }
+
+// WithBalancerNewer sets a function that is called when another node has a newer
+// configuration.
+func WithBalancerNewer(fn func()) BalancerOption { return func(b *Balancer) { b.newer = fn } }
+
+// NewBalancer returns a balancer that decides by a view.
+func NewBalancer(cfg BalancerConfig, codec mangokeel.Codec, view *fleet.View, link Link, opts ...BalancerOption) *Balancer {
+	b := &Balancer{
+		cfg: cfg, codec: codec, view: view, link: link, now: time.Now,
+		events: NewEvents(log.NewNopLogger()), newer: func() {},
+		hints: map[mangokeel.Flow]hint{}, patience: map[netip.AddrPort]*patience{},
+		origin: fleetwire.Address(cfg.Hints),
+	}
+	for _, o := range opts {
+		o(b)
+	}
+	return b
+}
+
+// Caller takes a packet from a caller.
+func (b *Balancer) Caller(raw []byte) {
+	p, err := b.codec.Parse(raw)
+	if err != nil || p.Returned {
+		b.events.count(Malformed)
+		return
+	}
+	f := mangokeel.Flow{Caller: p.Source, Address: p.Destination}
+	s := b.view.State()
+	route := s.Routes[p.Destination]
+	if route == nil {
+		b.noRoute(s, f, p)
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if p.Opening {
+		delete(b.hints, f)
+		b.open(s, route, f, p, raw)
+		return
+	}
+	b.data(s, route, f, raw)
+}
+
+// noRoute ends a flow that nothing can serve. Before the first configuration it says
+// nothing, since the route may exist.
+func (b *Balancer) noRoute(s *fleet.State, f mangokeel.Flow, p mangokeel.Packet) {
+	if s.Revision == 0 || !p.Opening {
+		b.events.count(Dropped)
+		return
+	}
+	b.events.decide(Refused, f, "reason", "no route", "revision", s.Revision)
+	b.link.Caller(f.Caller.Addr(), b.codec.Reset(p))
+}
+
+// open hands an opening packet to the flow's directory.
+func (b *Balancer) open(s *fleet.State, route *fleet.Route, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
+	h := hashOf(f)
+	service := route.Choose(h)
+	b.order = s.Order(b.order[:0], service, b.cfg.Zone, h)
+	if len(b.order) == 0 {
+		if p.Copy == 0 {
+			b.events.decide(Refused, f, "reason", "no target", "service", service, "revision", s.Revision)
+			b.link.Caller(f.Caller.Addr(), b.codec.Reset(p))
+		}
+		return
+	}
+	now := b.now()
+	first := b.order[0]
+	if p.Copy > 0 {
+		b.copied(first.Agent, now)
+	}
+	to := b.heard(now)
+	if to != first {
+		// Agents do not tell about flows that they place as the first to be asked.
+		b.hints[f] = hint{to.Agent, now}
+		b.events.decide(Bypassed, f, "silent", first.Agent, "to", to.Agent, "copy", p.Copy)
+	}
+	b.send(to.Agent, fleetwire.Carry_CARRY_OPEN, s.Revision, service, raw)
+}
+
+// heard returns the first target in the order whose agent does not count as silent, or
+// the first if all do.
+func (b *Balancer) heard(now time.Time) *fleet.Target {
+	for _, t := range b.order {
+		if x := b.patience[t.Agent]; x == nil || !now.Before(x.until) {
+			return t
+		}
+	}
+	return b.order[0]
+}
+
+// copied counts a copy of an opening packet. Copies are only sent when no answer came.
+func (b *Balancer) copied(agent netip.AddrPort, now time.Time) {
+	x := b.patience[agent]
+	if x == nil {
+		x = &patience{}
+		b.patience[agent] = x
+	}
+	if now.Sub(x.since) > copyWindow {
+		x.copies, x.since = 0, now
+	}
+	x.copies++
+	if x.copies >= suspectCopies && now.After(x.until) {
+		x.until = now.Add(suspectTime)
+		b.events.change("agent counts as silent", "agent", agent, "copies", x.copies, "for", suspectTime)
+	}
+}
+
+// data hands any other packet to the owner of the flow, or else to its directory.
+func (b *Balancer) data(s *fleet.State, route *fleet.Route, f mangokeel.Flow, raw []byte) {
+	now := b.now()
+	if x, ok := b.hints[f]; ok {
+		if s.Agents[x.agent] != nil {
+			x.seen = now
+			b.hints[f] = x
+			b.send(x.agent, fleetwire.Carry_CARRY_DATA, s.Revision, "", raw)
+			return
+		}
+		delete(b.hints, f)
+	}
+	h := hashOf(f)
+	b.order = s.Order(b.order[:0], route.Choose(h), b.cfg.Zone, h)
+	for _, service := range route.Former {
+		if len(b.order) == 0 {
+			b.order = s.Order(b.order[:0], service, b.cfg.Zone, h)
+		}
+	}
+	if len(b.order) == 0 {
+		b.events.count(Dropped)
+		return
+	}
+	b.send(b.heard(now).Agent, fleetwire.Carry_CARRY_DATA, s.Revision, "", raw)
+}
+
+func (b *Balancer) send(to netip.AddrPort, kind fleetwire.Carry, revision uint64, service string, raw []byte) {
+	b.frame.Kind, b.frame.Revision, b.frame.Service = kind, revision, service
+	b.frame.Origin, b.frame.Zone = b.origin, string(b.cfg.Zone)
+	out, err := fleetwire.Append(b.buf[:0], &b.frame, raw)
+	if err != nil {
+		b.events.count(Malformed)
+		return
+	}
+	b.buf = out
+	b.events.count(Forwarded)
+	b.link.Frame(to, out)
+}
+
+// Hint takes a frame from an agent.
+func (b *Balancer) Hint(raw []byte) {
+	var x fleetwire.Frame
+	if _, err := fleetwire.Split(raw, &x); err != nil || x.GetKind() != fleetwire.Carry_CARRY_HINT {
+		b.events.count(Malformed)
+		return
+	}
+	s := b.view.State()
+	if x.GetRevision() > s.Revision {
+		b.newer()
+	}
+	agent, f := fleetwire.ParseAddress(x.GetOrigin()), flowOf(&x)
+	if !agent.IsValid() || !f.Caller.IsValid() {
+		b.events.count(Malformed)
+		return
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	if len(b.hints) >= hintLimit {
+		b.events.count(Dropped)
+		return
+	}
+	b.hints[f] = hint{agent, b.now()}
+}
+
+// Sweep drops what was not used for long. It is called about once a second.
+func (b *Balancer) Sweep() {
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	now := b.now()
+	for f, x := range b.hints {
+		if now.Sub(x.seen) > hintLife {
+			delete(b.hints, f)
+		}
+	}
+	for agent, x := range b.patience {
+		if now.Sub(x.since) > copyWindow && now.After(x.until) {
+			delete(b.patience, agent)
+		}
+	}
+}
--- /dev/null
+++ b/internal/packet/events.go
@@ -0,0 +1,135 @@
+package packet
+
+import (
+	"sync"
+	"time"
+
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"mangokeel"
+)
+
+// Event is a kind of decision about a packet.
+type Event int
+
+// Events.
+const (
+	// Forwarded packets went to an agent, Delivered ones to the target, Returned ones
+	// came back from it, and Answered ones went from it to a caller.
+	Forwarded Event = iota
+	Delivered
+	Returned
+	Answered
+	// Dropped packets have no place to go, and Malformed ones cannot be read.
+	Dropped
+	Malformed
+	// Bypassed opening packets went around an agent that counts as silent.
+	Bypassed
+	// Passed opening packets went to another agent, because this one's target has more
+	// to do or may not take them.
+	Passed
+	// Refused flows ended with a reset before anything ran.
+	Refused
+	// Walked packets belong to flows that this agent does not know.
+	Walked
+	// Lost packets belong to flows that no agent knows.
+	Lost
+	// Ended flows were reset because their target ended.
+	Ended
+	events
+)
+
+// String returns the event's name.
+func (e Event) String() string {
+	return [...]string{
+		"forwarded", "delivered", "returned", "answered", "dropped", "malformed", "bypassed",
+		"passed", "refused", "walked", "lost", "ended",
+	}[e]
+}
+
+const (
+	// lineRate and lineBurst bound the lines about decisions. Beyond them, decisions are
+	// only counted, and the next line says how many were left out.
+	lineRate  = 20.0
+	lineBurst = 40.0
+)
+
+// Events counts all decisions and logs those that change a flow's way or end it.
+type Events struct {
+	logger   log.Logger
+	counters [events]prometheus.Counter
+
+	mu     sync.Mutex
+	tokens float64
+	last   time.Time
+	// omitted counts the lines left out since the last one.
+	omitted int
+}
+
+// NewEvents returns events that log to l.
+func NewEvents(l log.Logger) *Events {
+	e := &Events{logger: l, tokens: lineBurst}
+	vec := prometheus.NewCounterVec(prometheus.CounterOpts{
+		Namespace: "mangokeel_packet", Name: "events_total", Help: "Decisions about packets, by kind.",
+	}, []string{"event"})
+	for i := range e.counters {
+		e.counters[i] = vec.WithLabelValues(Event(i).String())
+	}
+	return e
+}
+
+// Register registers the counters.
+func (e *Events) Register(r prometheus.Registerer) error {
+	return r.Register(collector{e})
+}
+
+type collector struct{ e *Events }
+
+// Describe implements prometheus.Collector.
+func (c collector) Describe(ch chan<- *prometheus.Desc) { ch <- c.e.counters[0].Desc() }
+
+// Collect implements prometheus.Collector.
+func (c collector) Collect(ch chan<- prometheus.Metric) {
+	for _, x := range c.e.counters {
+		ch <- x
+	}
+}
+
+func (e *Events) count(k Event) { e.counters[k].Inc() }
+
+// decide counts a decision and logs it with its inputs.
+func (e *Events) decide(k Event, f mangokeel.Flow, keyvals ...any) {
+	e.count(k)
+	omitted, ok := e.allow()
+	if !ok {
+		return
+	}
+	line := append([]any{"msg", k.String(), "flow", f.Caller.String() + ">" + f.Address.String()}, keyvals...)
+	if omitted > 0 {
+		line = append(line, "omitted", omitted)
+	}
+	_ = e.logger.Log(line...)
+}
+
+// change logs a change of what the process believes.
+func (e *Events) change(msg string, keyvals ...any) {
+	_ = e.logger.Log(append([]any{"msg", msg}, keyvals...)...)
+}
+
+func (e *Events) allow() (omitted int, ok bool) {
+	e.mu.Lock()
+	defer e.mu.Unlock()
+	now := time.Now()
+	if !e.last.IsZero() {
+		e.tokens = min(lineBurst, e.tokens+now.Sub(e.last).Seconds()*lineRate)
+	}
+	e.last = now
+	if e.tokens < 1 {
+		e.omitted++
+		return 0, false
+	}
+	e.tokens--
+	omitted, e.omitted = e.omitted, 0
+	return omitted, true
+}
--- /dev/null
+++ b/internal/packet/packet.go
@@ -0,0 +1,56 @@
+// Package packet forwards flows whose packets name both of their ends.
+//
+// A Balancer hands each packet of a caller to an agent; an Agent gives packets to the one
+// target that it stands beside and sends the target's packets straight to callers. Neither
+// has sockets of its own: both get packets by calls and send through a Link, so that whole
+// fleets run on virtual time in tests.
+//
+//	b := packet.NewBalancer(cfg, codec, view, link)
+//	b.Caller(bytes)             // a packet from a caller
+//
+//	a := packet.NewAgent(cfg, codec, view, link)
+//	a.Report(report)            // what the target says of itself
+//	a.Frame(bytes)              // from a balancer or an agent
+//	a.Target(bytes)             // from the target
+//
+// The first agent in a flow's order (fleet.State.Order) is its directory: it places the
+// flow and remembers where it went. The target is the truth about which flows it holds,
+// because it returns packets of others; the agents' tables only save asking.
+package packet
+
+import (
+	"encoding/binary"
+	"net/netip"
+
+	"github.com/cespare/xxhash/v2"
+
+	"mangokeel"
+	"mangokeel/internal/fleetwire"
+)
+
+// Link carries what a Balancer or Agent sends. Sending never blocks for long; what cannot
+// be sent is dropped, as packets are.
+type Link interface {
+	// Frame sends a frame to a balancer or an agent.
+	Frame(to netip.AddrPort, b []byte)
+	// Target gives a packet to the agent's own target.
+	Target(b []byte)
+	// Caller sends a packet to the caller at an address.
+	Caller(to netip.Addr, b []byte)
+}
+
+// hashOf returns the hash of a flow. All nodes compute the same.
+func hashOf(f mangokeel.Flow) uint64 {
+	var b [36]byte
+	c, a := f.Caller.Addr().As16(), f.Address.Addr().As16()
+	copy(b[:], c[:])
+	copy(b[16:], a[:])
+	binary.BigEndian.PutUint16(b[32:], f.Caller.Port())
+	binary.BigEndian.PutUint16(b[34:], f.Address.Port())
+	return xxhash.Sum64(b[:])
+}
+
+// flowOf returns the flow that a hint names, or the zero value.
+func flowOf(x *fleetwire.Frame) mangokeel.Flow {
+	return mangokeel.Flow{Caller: fleetwire.ParseAddress(x.GetCaller()), Address: fleetwire.ParseAddress(x.GetAddress())}
+}
--- /dev/null
+++ b/internal/packet/place.go
@@ -0,0 +1,182 @@
+package packet
+
+import (
+	"net/netip"
+	"time"
+
+	"mangokeel"
+	"mangokeel/internal/fleet"
+	"mangokeel/internal/fleetwire"
+)
+
+const (
+	// estimateLife is how long what an agent said of its load counts: several service
+	// times of small requests.
+	estimateLife = 200 * time.Millisecond
+	// awayCost is what a target in another zone costs more, in work in progress for each
+	// slot: the round trip between zones, 3 ms, is a fifth of a small request's time.
+	awayCost = 0.2
+	// coldCost is what a cold target costs more.
+	coldCost = 1.0
+	// queueFactor is how much work for each slot a target takes before it refuses more:
+	// hosts queue a few requests for each slot.
+	queueFactor = 5
+)
+
+// estimate is what an agent believes of another agent's load.
+type estimate struct {
+	busy float64
+	at   time.Time
+	// placed counts the flows that this agent has sent there since.
+	placed float64
+	flows  int
+}
+
+// value returns the work in progress that is to be expected.
+func (e *estimate) value(now time.Time) float64 {
+	if e == nil {
+		return 0
+	}
+	left := 1 - float64(now.Sub(e.at))/float64(estimateLife)
+	return max(0, left) * (e.busy + e.placed)
+}
+
+// load returns what this agent tells of its target.
+func (a *Agent) load() *fleetwire.Load {
+	return &fleetwire.Load{Busy: uint32(max(0, a.busy)), Flows: uint32(max(0, a.open)), Slots: uint32(a.gate.slots)}
+}
+
+// learn takes over what the sender of a frame says of its load.
+func (a *Agent) learn(x *fleetwire.Frame) {
+	l := x.GetLoad()
+	if l == nil {
+		return
+	}
+	var from netip.AddrPort
+	switch passed := x.GetPassed(); {
+	case x.GetKind() == fleetwire.Carry_CARRY_HINT:
+		from = fleetwire.ParseAddress(x.GetOrigin())
+	case len(passed) > 0:
+		from = fleetwire.ParseAddress(passed[len(passed)-1])
+	}
+	if from.IsValid() {
+		a.loads[from] = &estimate{busy: float64(l.GetBusy()), at: a.now(), flows: int(l.GetFlows())}
+	}
+}
+
+// choose decides by which configuration a flow is opened: the newest of this agent's and
+// the sender's. It returns false if the route does not exist.
+func (a *Agent) choose(s *fleet.State, x *fleetwire.Frame, f mangokeel.Flow) (service string, ok bool) {
+	if x.GetRevision() > s.Revision {
+		return x.GetService(), x.GetService() != ""
+	}
+	route := s.Routes[f.Address]
+	if route == nil {
+		return "", false
+	}
+	service = x.GetService()
+	if !route.Allows(service) {
+		service = route.Choose(hashOf(f))
+	}
+	x.Revision, x.Service = s.Revision, service
+	return service, service != ""
+}
+
+// place finds a target for a new flow.
+func (a *Agent) place(s *fleet.State, x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
+	service, ok := a.choose(s, x, f)
+	if !ok {
+		a.refuse(x, f, p, "no route")
+		return
+	}
+	own := a.admits(s, service)
+	if own && a.busy < a.gate.slots {
+		a.accept(x, f, p, raw)
+		return
+	}
+	if len(x.GetPassed()) < passLimit {
+		if t := a.better(s, x, f, service, own); t != nil {
+			a.passTo(t, x, f, raw)
+			return
+		}
+	}
+	if own {
+		a.accept(x, f, p, raw)
+		return
+	}
+	a.refuse(x, f, p, "no target takes the flow")
+}
+
+// pass finds another target after the own one did not take a flow.
+func (a *Agent) pass(s *fleet.State, x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
+	service, ok := a.choose(s, x, f)
+	if ok && len(x.GetPassed()) < passLimit {
+		if t := a.better(s, x, f, service, false); t != nil {
+			a.passTo(t, x, f, raw)
+			return
+		}
+	}
+	a.refuse(x, f, p, "no target takes the flow")
+}
+
+func (a *Agent) passTo(t *fleet.Target, x *fleetwire.Frame, f mangokeel.Flow, raw []byte) {
+	if len(x.GetPassed()) == 0 {
+		opened, _ := a.codec.Parse(raw)
+		a.flows[f] = &entry{owner: t.Agent, opened: opened.Sequence, seen: a.now()}
+	}
+	e := a.loads[t.Agent]
+	if e == nil {
+		e = &estimate{at: a.now()}
+		a.loads[t.Agent] = e
+	}
+	e.placed++
+	a.events.decide(Passed, f, "to", t.Agent, "busy", a.busy, "slots", a.gate.slots, "expected", e.value(a.now()),
+		"ready", a.gate.ready, "hop", len(x.GetPassed()), "revision", x.GetRevision())
+	x.Passed = append(x.Passed, a.self)
+	a.forward(t.Agent, x, raw)
+}
+
+// better returns the target with the least expected work among those that may take a flow
+// and have not passed it on. When the own target may take it, only one with less work is
+// better.
+func (a *Agent) better(s *fleet.State, x *fleetwire.Frame, f mangokeel.Flow, service string, own bool) *fleet.Target {
+	now := a.now()
+	var best *fleet.Target
+	var least float64
+	zone := mangokeel.AvailabilityZone(x.GetZone())
+	if own {
+		least = a.cost(float64(a.busy), a.gate.slots, a.cfg.Zone != zone, a.gate.coldNow(now))
+	}
+	a.order = s.Order(a.order[:0], service, zone, hashOf(f))
+	for _, t := range a.order {
+		if t.Agent == a.cfg.Address || !t.Ready || s.Out[t.Zone] || contains(x.GetPassed(), t.Agent) {
+			continue
+		}
+		c := a.cost(a.loads[t.Agent].value(now), t.Slots, t.Zone != zone, t.Cold)
+		if best == nil && !own || c < least {
+			best, least = t, c
+		}
+	}
+	return best
+}
+
+func (a *Agent) cost(busy float64, slots int, away, cold bool) float64 {
+	c := busy / float64(max(1, slots))
+	if away {
+		c += awayCost
+	}
+	if cold {
+		c += coldCost
+	}
+	return c
+}
+
+// refuse tells the caller that a flow was not opened. A copy of an opening packet is
+// dropped instead, since the first one may have been taken.
+func (a *Agent) refuse(x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, reason string) {
+	a.events.decide(Refused, f, "reason", reason, "service", x.GetService(), "revision", x.GetRevision(),
+		"asked", len(x.GetPassed())+1, "busy", a.busy, "slots", a.gate.slots, "copy", p.Copy)
+	if p.Copy == 0 {
+		a.link.Caller(f.Caller.Addr(), a.codec.Reset(p))
+	}
+}
--- /dev/null
+++ b/internal/packet/socket.go
@@ -0,0 +1,95 @@
+package packet
+
+import (
+	"net"
+	"net/netip"
+	"sync"
+
+	"github.com/cockroachdb/errors"
+)
+
+const (
+	// datagramLimit is larger than any packet with a frame's header.
+	datagramLimit = 4 << 10
+	// receiveBuffer holds the packets of some 100 ms in which a process does not run.
+	receiveBuffer = 1 << 20
+)
+
+// Socket is a UDP socket with one reader.
+type Socket struct {
+	conn *net.UDPConn
+	done sync.WaitGroup
+}
+
+// OpenSocket opens a socket.
+func OpenSocket(addr netip.AddrPort) (*Socket, error) {
+	conn, err := net.ListenUDP("udp4", net.UDPAddrFromAddrPort(addr))
+	if err != nil {
+		return nil, errors.Wrapf(err, "open packet socket %s", addr)
+	}
+	// The system may allow less.
+	_ = conn.SetReadBuffer(receiveBuffer)
+	return &Socket{conn: conn}, nil
+}
+
+// Serve starts to hand each datagram to fn, which must not keep it.
+func (s *Socket) Serve(fn func(b []byte)) {
+	s.done.Go(func() {
+		b := make([]byte, datagramLimit)
+		for {
+			n, _, err := s.conn.ReadFromUDPAddrPort(b)
+			switch {
+			case errors.Is(err, net.ErrClosed):
+				return
+			case err != nil:
+				continue // an earlier datagram could not be delivered
+			}
+			fn(b[:n])
+		}
+	})
+}
+
+// Send sends a datagram. Datagrams may be lost, so there is no outcome.
+func (s *Socket) Send(to netip.AddrPort, b []byte) {
+	_, _ = s.conn.WriteToUDPAddrPort(b, to)
+}
+
+// Close ends the reader.
+func (s *Socket) Close() {
+	s.conn.Close()
+	s.done.Wait()
+}
+
+// BalancerLink sends through sockets: frames from the one for hints, packets to callers
+// from the one for callers.
+type BalancerLink struct {
+	Data, Hints *Socket
+	// Port is the port of all callers.
+	Port uint16
+}
+
+// Frame implements Link.
+func (l BalancerLink) Frame(to netip.AddrPort, b []byte) { l.Hints.Send(to, b) }
+
+// Target implements Link. Balancers have no target.
+func (BalancerLink) Target([]byte) {}
+
+// Caller implements Link.
+func (l BalancerLink) Caller(to netip.Addr, b []byte) { l.Data.Send(netip.AddrPortFrom(to, l.Port), b) }
+
+// AgentLink sends through sockets: to the target from the one that the target sends to,
+// all else from the one for frames.
+type AgentLink struct {
+	Data, Outbound *Socket
+	To             netip.AddrPort
+	Port           uint16
+}
+
+// Frame implements Link.
+func (l AgentLink) Frame(to netip.AddrPort, b []byte) { l.Data.Send(to, b) }
+
+// Target implements Link.
+func (l AgentLink) Target(b []byte) { l.Outbound.Send(l.To, b) }
+
+// Caller implements Link.
+func (l AgentLink) Caller(to netip.Addr, b []byte) { l.Data.Send(netip.AddrPortFrom(to, l.Port), b) }
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -16,6 +16,7 @@
 	"context"
 	"encoding/json"
 	"fmt"
+	"io"
 	"net"
 	"net/http"
 	"net/netip"
@@ -53,8 +54,47 @@
 	Registry *prometheus.Registry
 	Group    *run.Group
 	dump     func() any
+	flush    func()
+	// config is the settings file.
+	config string
+	before []func()
 }
 
+// Before adds a function that runs when the process is asked to stop, before any part of
+// the group is interrupted.
+func (p *Process) Before(fn func()) { p.before = append(p.before, fn) }
+
+// Reload reads the settings file again into cfg.
+func (p *Process) Reload(cfg settings.Checker) error { return settings.Load(p.config, cfg) }
+
+// ConfigTime returns when the settings file last changed, or the zero value.
+func (p *Process) ConfigTime() time.Time {
+	info, err := os.Stat(p.config)
+	if err != nil {
+		return time.Time{} // Reload tells why
+	}
+	return info.ModTime()
+}
+
+// Option changes how a daemon is run.
+type Option func(*frame)
+
+type frame struct {
+	args   []string
+	config string
+	output io.Writer
+}
+
+// WithArgs sets the command line after the program's name.
+func WithArgs(args []string) Option { return func(f *frame) { f.args = args } }
+
+// WithConfig sets the settings file that is read when the command line names none.
+func WithConfig(path string) Option { return func(f *frame) { f.config = path } }
+
+// WithOutput sets where logs are written, in the background and without ever waiting for
+// the reader. The default is to write to standard error before going on.
+func WithOutput(w io.Writer) Option { return func(f *frame) { f.output = w } }
+
 // SetDump sets the function whose result is served as JSON on /dump. It is called
 // from any goroutine.
 func (p *Process) SetDump(fn func() any) { p.dump = fn }
@@ -68,15 +108,19 @@
 
 // Main runs a daemon and ends the program with one of the exit codes. cfg is
 // filled from the settings file before start is called.
-func Main(name string, cfg settings.Checker, start func(p *Process) error) {
-	os.Exit(daemon(name, cfg, start))
+func Main(name string, cfg settings.Checker, start func(p *Process) error, opts ...Option) {
+	f := &frame{args: os.Args[1:]}
+	for _, o := range opts {
+		o(f)
+	}
+	os.Exit(daemon(name, cfg, start, f))
 }
 
-func daemon(name string, cfg settings.Checker, start func(p *Process) error) int {
-	var args arguments
+func daemon(name string, cfg settings.Checker, start func(p *Process) error, f *frame) int {
+	args := arguments{Config: f.config}
 	parser := flags.NewParser(&args, flags.HelpFlag|flags.PassDoubleDash)
 	parser.Name = name
-	if code, done := parse(parser, &args); done {
+	if code, done := parse(parser, &args, f.args); done {
 		return code
 	}
 	if err := settings.Load(args.Config, cfg); err != nil {
@@ -86,12 +130,21 @@
 	if args.Check {
 		return ExitOK
 	}
-	p := newProcess(name, args.Verbose)
+	p := newProcess(name, args.Verbose, f.output)
+	p.config = args.Config
+	defer p.flush()
 	if err := start(p); err != nil {
 		_ = level.Error(p.Log).Log("msg", "start failed", "err", err)
 		return ExitFailure
 	}
-	p.Group.Add(run.SignalHandler(context.Background(), syscall.SIGINT, syscall.SIGTERM))
+	execute, interrupt := run.SignalHandler(context.Background(), syscall.SIGINT, syscall.SIGTERM)
+	p.Group.Add(func() error {
+		err := execute()
+		for _, fn := range p.before {
+			fn()
+		}
+		return err
+	}, interrupt)
 	_ = level.Info(p.Log).Log("msg", "started")
 	err := p.Group.Run()
 	if code := exitCode(err); code != ExitOK {
@@ -110,8 +163,14 @@
 	return ExitFailure
 }
 
-func newProcess(name string, verbose bool) *Process {
-	l := log.NewLogfmtLogger(log.NewSyncWriter(os.Stderr))
+func newProcess(name string, verbose bool, output io.Writer) *Process {
+	flush := func() {}
+	w := log.NewSyncWriter(os.Stderr)
+	if output != nil {
+		x := newLines(output)
+		w, flush = x, x.flush
+	}
+	l := log.NewLogfmtLogger(w)
 	l = log.With(l, "ts", log.DefaultTimestampUTC, "process", name)
 	allowed := level.AllowInfo()
 	if verbose {
@@ -124,12 +183,13 @@
 		Registry: r,
 		Group:    &run.Group{},
 		dump:     func() any { return struct{}{} },
+		flush:    flush,
 	}
 }
 
 // parse reads the command line. It is done when the program should end.
-func parse(parser *flags.Parser, args *arguments) (code int, done bool) {
-	rest, err := parser.Parse()
+func parse(parser *flags.Parser, args *arguments, words []string) (code int, done bool) {
+	rest, err := parser.ParseArgs(words)
 	switch {
 	case flags.WroteHelp(err):
 		fmt.Println(err)
--- a/internal/replica/change.go
+++ b/internal/replica/change.go
@@ -22,6 +22,21 @@
 	return list
 }
 
+// Silent returns how long the leader has not heard of a member. It is 0 for unknown
+// members and on instances that do not lead.
+func (n *Node) Silent(id string) time.Duration {
+	n.mu.Lock()
+	t, ok := n.seen.acked[id]
+	n.mu.Unlock()
+	if !ok {
+		return 0
+	}
+	return max(0, n.timers.Now().Sub(t))
+}
+
+// ID returns the identity of this instance's data folder.
+func (n *Node) ID() string { return n.Status().ID }
+
 // Admit makes the instance at addr a voter once it has caught up. It works on the
 // leader and returns when the joining is accepted; Members shows its progress.
 func (n *Node) Admit(ctx context.Context, addr netip.AddrPort) error {
--- a/internal/replica/leader.go
+++ b/internal/replica/leader.go
@@ -65,6 +65,22 @@
 	})
 }
 
+// heardFrom returns when each other member last followed this leader, at the earliest
+// when the leadership began. It is nil elsewhere.
+func (c *core) heardFrom() map[string]time.Time {
+	if c.role != leader {
+		return nil
+	}
+	out := make(map[string]time.Time, len(c.peers))
+	for id, p := range c.peers {
+		out[id] = c.since
+		if p.acked > 0 {
+			out[id] = later(c.since, c.at(p.acked))
+		}
+	}
+	return out
+}
+
 // lead is the leader's share of tick.
 func (c *core) lead() {
 	last := c.since
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -101,6 +101,8 @@
 	role       role
 	last       uint64
 	snapshot   uint64
+	// acked is when the leader last heard of each other member.
+	acked map[string]time.Time
 }
 
 // waiter is a proposal whose outcome is awaited.
@@ -234,6 +236,7 @@
 	v := view{membership: c.membership, counts: c.counts, cut: c.meta.GetCut(), role: c.role}
 	v.status, v.now, v.confirmed = e.status()
 	v.last, v.snapshot = c.log.last(), c.state.GetIndex()
+	v.acked = c.heardFrom()
 	n.mu.Lock()
 	old := n.seen
 	n.seen = v
--- a/mangokeel.go
+++ b/mangokeel.go
@@ -142,3 +142,36 @@
 	Propose(ctx context.Context, command []byte) (result []byte, r Revision, err error)
 	Status() LogStatus
 }
+
+// Flow names a flow by its two ends: the caller, and the address of the service that it
+// called.
+type Flow struct {
+	Caller, Address netip.AddrPort
+}
+
+// Packet is what the product reads from a packet that names both of its ends.
+type Packet struct {
+	Source, Destination netip.AddrPort
+	// Opening marks the caller's first packet of a flow, Accepting the target's answer
+	// to it. Final and Reset mark a sender's last packet.
+	Opening, Accepting, Final, Reset bool
+	// Returned marks a packet that the target did not take.
+	Returned bool
+	// Sequence numbers the sender's bytes, Acknowledged those it has received.
+	Sequence, Acknowledged uint32
+	// Copy counts the copies of an opening packet that were sent before this one.
+	Copy int
+	// Size is the length of the data in bytes.
+	Size int
+}
+
+// Codec reads and marks packets of one format. Packets are never changed in what their
+// sender wrote.
+type Codec interface {
+	// Parse reads a packet. The error says what is malformed.
+	Parse(b []byte) (Packet, error)
+	// Clean removes, in place, the marks that a target set when it returned the packet.
+	Clean(b []byte)
+	// Reset returns a packet that ends p's flow towards its source.
+	Reset(p Packet) []byte
+}
--- /dev/null
+++ b/pkg/settings/node.go
@@ -0,0 +1,124 @@
+package settings
+
+import "net/netip"
+
+// Cluster is how a node of the packet path finds control.
+type Cluster struct {
+	// Seeds are some control instances. Only their IPs count; all others are learned.
+	Seeds []netip.AddrPort `yaml:"seeds"`
+	// Port is the port on which all control instances take calls.
+	Port int `yaml:"port"`
+}
+
+// Calls returns where the seeds take calls.
+func (c Cluster) Calls() []netip.AddrPort {
+	var out []netip.AddrPort
+	for _, a := range c.Seeds {
+		out = append(out, netip.AddrPortFrom(a.Addr(), uint16(c.Port)))
+	}
+	return out
+}
+
+const (
+	maxPort     = 1<<16 - 1
+	minMemoryMB = 16
+	maxLosses   = 4
+)
+
+func (c Cluster) check() *Error {
+	if len(c.Seeds) == 0 {
+		return need("cluster.seeds", false)
+	}
+	return fault(c.Port > 0 && c.Port <= maxPort, "cluster.port", "%d is not a port", c.Port)
+}
+
+func checkMemory(mb int) *Error {
+	return fault(mb == 0 || mb >= minMemoryMB, "memory", "%d MB is below %d MB", mb, minMemoryMB)
+}
+
+// PacketBalancer is the settings of a balancer for packets that name both ends.
+type PacketBalancer struct {
+	Name string `yaml:"name"`
+	Zone string `yaml:"zone"`
+	// Data is where the fabric hands over callers' packets.
+	Data netip.AddrPort `yaml:"data"`
+	// Hints is where agents answer.
+	Hints netip.AddrPort `yaml:"hints"`
+	// Ready answers the fabric's checks.
+	Ready netip.AddrPort `yaml:"ready"`
+	// Status serves /metrics and /dump.
+	Status netip.AddrPort `yaml:"status"`
+	// Memory is the limit of the process in MB; 0 is no limit.
+	Memory  int     `yaml:"memory"`
+	Cluster Cluster `yaml:"cluster"`
+}
+
+// Check implements Checker.
+func (s *PacketBalancer) Check() error {
+	return first(
+		needName("name", s.Name), needName("zone", s.Zone), needAddr("data", s.Data), needAddr("hints", s.Hints),
+		needAddr("ready", s.Ready), optionalAddr("status", s.Status), checkMemory(s.Memory), s.Cluster.check(),
+	)
+}
+
+// PacketAgent is the settings of an agent for packets that name both ends.
+type PacketAgent struct {
+	Name string `yaml:"name"`
+	Zone string `yaml:"zone"`
+	// Service is what the target is expected to serve. The target's own word counts.
+	Service string `yaml:"service"`
+	// Data is where balancers and other agents send frames.
+	Data netip.AddrPort `yaml:"data"`
+	// Outbound is where the target sends its packets, Target where it takes packets.
+	Outbound netip.AddrPort `yaml:"outbound"`
+	Target   netip.AddrPort `yaml:"target"`
+	// Reports is where the target reports.
+	Reports netip.AddrPort `yaml:"reports"`
+	// Ready answers checks.
+	Ready netip.AddrPort `yaml:"ready"`
+	// Status serves /metrics and /dump.
+	Status netip.AddrPort `yaml:"status"`
+	// Memory is the limit of the process in MB; 0 is no limit.
+	Memory  int     `yaml:"memory"`
+	Cluster Cluster `yaml:"cluster"`
+}
+
+// Check implements Checker.
+func (s *PacketAgent) Check() error {
+	return first(
+		needName("name", s.Name), needName("zone", s.Zone), needAddr("data", s.Data), needAddr("outbound", s.Outbound),
+		needAddr("target", s.Target), needAddr("reports", s.Reports), optionalAddr("ready", s.Ready),
+		optionalAddr("status", s.Status), checkMemory(s.Memory), s.Cluster.check(),
+	)
+}
+
+// PacketControl is the settings of a control instance for packets that name both ends.
+type PacketControl struct {
+	Name string `yaml:"name"`
+	Zone string `yaml:"zone"`
+	// Address is where other control instances and nodes call.
+	Address netip.AddrPort `yaml:"address"`
+	// Operators is where operators call.
+	Operators netip.AddrPort `yaml:"operators"`
+	// Status serves /metrics and /dump.
+	Status netip.AddrPort `yaml:"status"`
+	// Data is the data folder.
+	Data string `yaml:"data"`
+	// First is set when the whole system starts for the first time.
+	First bool `yaml:"first"`
+	// Losses is how many control instances may be lost at once.
+	Losses int `yaml:"losses"`
+	// Memory is the limit of the process in MB; 0 is no limit.
+	Memory  int     `yaml:"memory"`
+	Cluster Cluster `yaml:"cluster"`
+}
+
+// Check implements Checker.
+func (s *PacketControl) Check() error {
+	return first(
+		needName("name", s.Name), needName("zone", s.Zone), needAddr("address", s.Address), needAddr("operators", s.Operators),
+		optionalAddr("status", s.Status), need("data", s.Data != ""),
+		fault(s.Losses >= 0 && s.Losses <= maxLosses, "losses", "%d is not between 0 and %d", s.Losses, maxLosses),
+		checkMemory(s.Memory), s.Cluster.check(),
+	)
+}
