replica, packet: service is back sooner after a loss of all power

Cause: all instances waited a whole election timeout (0.5 to 1 s) after their start; cold targets got 3 flows a second where the configuration names no rate; copies of opening packets that nobody had forwarded made agents count as silent. Ruled out: slow disks or polls (30 ms and 100 ms in the log). Change: first election within 150 ms, guarded by pre-votes; identification each 200 ms; no bound for a cold target without a rate; only copies of forwarded packets count.

--- a/internal/packet/balancer.go
+++ b/internal/packet/balancer.go
@@ -42,6 +42,12 @@
 	seen  time.Time
 }
 
+// opening is an opening packet that was handed to an agent.
+type opening struct {
+	agent netip.AddrPort
+	at    time.Time
+}
+
 // patience counts the copies that callers sent because an agent did not answer.
 type patience struct {
 	copies int
@@ -63,6 +69,8 @@
 
 	mu       sync.Mutex
 	hints    map[mangokeel.Flow]hint
+	// openings are the flows that were opened within copyWindow.
+	openings map[mangokeel.Flow]opening
 	patience map[netip.AddrPort]*patience
 	frame    fleetwire.Frame
 	buf      []byte
@@ -90,7 +98,7 @@
 	b := &Balancer{
 		cfg: cfg, codec: codec, view: view, link: link, now: time.Now,
 		events: NewEvents(log.NewNopLogger()), newer: func() {},
-		hints: map[mangokeel.Flow]hint{}, patience: map[netip.AddrPort]*patience{},
+		hints: map[mangokeel.Flow]hint{}, openings: map[mangokeel.Flow]opening{}, patience: map[netip.AddrPort]*patience{},
 		origin: fleetwire.Address(cfg.Hints),
 	}
 	for _, o := range opts {
@@ -148,10 +156,12 @@
 	}
 	now := b.now()
 	first := b.order[0]
-	if p.Copy > 0 {
+	// Copies whose first packet went elsewhere say nothing about the agent.
+	if x, ok := b.openings[f]; ok && p.Copy > 0 && x.agent == first.Agent {
 		b.copied(first.Agent, now)
 	}
 	to := b.heard(now)
+	b.openings[f] = opening{to.Agent, now}
 	if to != first {
 		// Agents do not tell about flows that they place as the first to be asked.
 		b.hints[f] = hint{to.Agent, now}
@@ -262,6 +272,11 @@
 			delete(b.hints, f)
 		}
 	}
+	for f, x := range b.openings {
+		if now.Sub(x.at) > copyWindow {
+			delete(b.openings, f)
+		}
+	}
 	for agent, x := range b.patience {
 		if now.Sub(x.since) > copyWindow && now.After(x.until) {
 			delete(b.patience, agent)
--- a/internal/packet/gate.go
+++ b/internal/packet/gate.go
@@ -12,9 +12,9 @@
 	coldWindow = time.Second
 	// coldSlack lengthens the window, since packets travel to the target.
 	coldSlack = 50 * time.Millisecond
-	// coldLeast is what a cold target gets in a window when the configuration names no
-	// rate. Platforms allow 5 above the rate.
-	coldLeast = 3
+	// coldLeast is what a cold target gets in a window whatever its rate, so that its
+	// recovery shows.
+	coldLeast = 1
 	// unansweredLimit is how many opening packets a target may leave unanswered for
 	// unansweredTime before it gets only one in probePeriod.
 	unansweredLimit = 2
@@ -105,8 +105,12 @@
 // have started again, and be cold.
 func (g *gate) forgot(time.Time) { g.unsure = true }
 
-// bears reports whether a cold target bears one more flow.
+// bears reports whether a cold target bears one more flow. A rate of 0 is none: the
+// configuration bounds nothing.
 func (g *gate) bears(now time.Time, rate float64) bool {
+	if rate == 0 {
+		return true
+	}
 	n := 0
 	for _, t := range g.starts {
 		if now.Sub(t) <= coldWindow+coldSlack {
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -18,6 +18,13 @@
 	// from a leader.
 	minElection = 500 * time.Millisecond
 	maxElection = 1000 * time.Millisecond
+	// firstElection bounds the first election timeout after a start. It is below
+	// minElection because pre-votes protect a working leader, and after a loss of all
+	// power there is none to wait for.
+	firstElection = 150 * time.Millisecond
+	// identifyInterval separates the questions of the first start. Instances start
+	// within some 300 ms of each other.
+	identifyInterval = 200 * time.Millisecond
 	// firstTerm is the term of the entry that creates the cluster.
 	firstTerm = 1
 	// announceInterval is well below the time that a machine takes to start.
@@ -193,7 +200,7 @@
 		c.bootstrap = append(c.bootstrap, m.Address)
 	}
 	c.findMembership()
-	c.resetDeadline()
+	c.deadline = c.now.Add(time.Duration(c.opts.rand.Int64N(int64(firstElection))))
 	return c
 }
 
--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -12,7 +12,7 @@
 // instance that lost its folder finds others that are not, and waits to be
 // admitted.
 func (c *core) identify() {
-	c.resetDeadline()
+	c.deadline = c.now.Add(identifyInterval)
 	if c.known || !slices.Contains(c.bootstrap, c.address) || !c.lowest() {
 		return
 	}
