packet, fleet: quick search for control, no resets while targets may be missing, resets of flows that no agent holds

Cause: after a loss of all power a node waited 0.9 s for a control instance without power; balancers and agents reset opening packets while most agents had not announced themselves; callers of ended flows heard nothing until their deadline. Ruled out: the election (0.25 s after the start). Change: polls that look for a leader wait 250 ms; opening packets are dropped, not refused, for 0.8 s after the first state; a walk that asked all agents ends with a reset.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -19,8 +19,11 @@
 const (
 	// callTimeout is pollHold and a generous round trip.
 	callTimeout = pollHold + 400*time.Millisecond
+	// searchTimeout bounds a poll while no leader is known. Instances without power do
+	// not answer at all.
+	searchTimeout = 250 * time.Millisecond
 	// followPause separates polls that found no leader.
-	followPause = 100 * time.Millisecond
+	followPause = 50 * time.Millisecond
 )
 
 // Follower keeps a node's View current by polling the control instance that leads.
@@ -131,12 +134,16 @@
 		f.rest()
 		return
 	}
-	ctx, cancel := context.WithTimeout(f.ctx, callTimeout)
+	timeout := callTimeout
+	if !f.connected {
+		timeout = searchTimeout
+	}
+	ctx, cancel := context.WithTimeout(f.ctx, timeout)
 	defer cancel()
 	f.mu.Lock()
 	req := &fleetwire.PollRequest{
 		Node: f.node, Realm: f.view.State().Revision, Reign: f.reign, Registry: f.registry,
-		Wait: !f.again, Gone: f.gone,
+		Wait: f.connected && !f.again, Gone: f.gone,
 	}
 	f.again, f.hurry = false, cancel
 	f.mu.Unlock()
@@ -219,7 +226,7 @@
 		_ = level.Info(f.logger).Log("msg", "control reached", "at", addr, "revision", out.GetRealm(), "targets", len(out.GetAnnouncements()))
 	}
 	f.leader, f.connected = addr, true
-	changed := f.view.apply(out)
+	changed := f.view.apply(out, time.Now())
 	f.reign, f.registry = out.GetReign(), out.GetRegistry()
 	if out.GetComplete() && !f.complete && !out.GetAll() {
 		// Records that an additive list left in place must be compared with the whole.
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -89,12 +89,26 @@
 	Out   map[mangokeel.AvailabilityZone]bool
 	Zones map[mangokeel.AvailabilityZone]uint64
 	Idle  time.Duration
+	// First is when the node got its first state. Agents may still be missing for
+	// Settling after it.
+	First time.Time
+	// Complete is false while the leader may not have heard of all agents.
+	Complete bool
 	// Targets is in ascending order of their agents.
 	Targets map[string][]*Target
 	// Agents finds a target by its agent.
 	Agents map[netip.AddrPort]*Target
 }
 
+// Settling is how long after a common start of all nodes targets may be missing: agents
+// look for a leader with searchTimeout and hear of the target with its next report.
+const Settling = 800 * time.Millisecond
+
+// Settled reports whether a missing target is known not to exist.
+func (s *State) Settled(now time.Time) bool {
+	return !s.First.IsZero() && now.Sub(s.First) > Settling
+}
+
 // Order returns the targets of a service in the order in which they are responsible for a
 // flow: those in zone first, then by rendezvous hash. It appends to list.
 func (s *State) Order(list []*Target, service string, zone mangokeel.AvailabilityZone, flow uint64) []*Target {
@@ -147,12 +161,17 @@
 }
 
 // apply takes over a leader's answer and reports whether anything changed.
-func (v *View) apply(r *fleetwire.PollReply) bool {
+func (v *View) apply(r *fleetwire.PollReply, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	old := v.State()
 	next := *old
-	changed := v.applyRealm(r, &next)
+	if next.First.IsZero() {
+		next.First = now
+	}
+	changed := next.Complete != r.GetComplete()
+	next.Complete = r.GetComplete()
+	changed = v.applyRealm(r, &next) || changed
 	if v.applyRegistry(r) {
 		v.index(&next)
 		changed = true
--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -2,6 +2,7 @@
 
 import (
 	"net/netip"
+	"slices"
 	"sync"
 	"time"
 
@@ -313,7 +314,7 @@
 	route := s.Routes[f.Address]
 	if !x.GetWalk() {
 		x.Walk = true
-		x.Next = a.walk(s, route, x, f)
+		a.walk(s, route, x, f)
 	}
 	a.events.count(Walked)
 	if a.mayHold(route) {
@@ -324,27 +325,23 @@
 	a.walkOn(x, f, p, raw)
 }
 
-// mayHold reports whether the own target can have flows of a route.
+// mayHold reports whether the own target can have flows of a route. Before the target's
+// first report, the settings say which service it has.
 func (a *Agent) mayHold(route *fleet.Route) bool {
-	if !a.gate.known {
-		return false
+	own := a.cfg.Service
+	if a.gate.known {
+		own = a.gate.service
 	}
-	if route == nil || route.Allows(a.gate.service) {
-		return true
-	}
-	for _, service := range route.Former {
-		if service == a.gate.service {
-			return true
-		}
-	}
-	return false
+	return route == nil || route.Allows(own) || slices.Contains(route.Former, own)
 }
 
-// walk lists the other agents that may have a flow, the likeliest first.
-func (a *Agent) walk(s *fleet.State, route *fleet.Route, x *fleetwire.Frame, f mangokeel.Flow) [][]byte {
+// walk lists in a frame the other agents that may have a flow, the likeliest first.
+func (a *Agent) walk(s *fleet.State, route *fleet.Route, x *fleetwire.Frame, f mangokeel.Flow) {
+	x.Next, x.Sure = nil, false
 	if route == nil {
-		return nil
+		return
 	}
+	x.Sure = s.Complete && s.Settled(a.now())
 	h := hashOf(f)
 	first := route.Choose(h)
 	services := []string{first}
@@ -362,23 +359,22 @@
 	for _, service := range services {
 		a.order = s.Order(a.order[:0], service, mangokeel.AvailabilityZone(x.GetZone()), h)
 		for _, t := range a.order {
-			if t.Agent != a.cfg.Address && !contains(x.GetPassed(), t.Agent) && len(list) < walkLimit {
+			switch {
+			case t.Agent == a.cfg.Address || contains(x.GetPassed(), t.Agent):
+			case len(list) == walkLimit:
+				x.Sure = false
+			default:
 				list = append(list, fleetwire.Address(t.Agent))
 			}
 		}
 	}
-	return list
+	x.Next = list
 }
 
 // walkOn passes a packet of an unknown flow to the next agent.
 func (a *Agent) walkOn(x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
 	if len(x.GetNext()) == 0 {
-		a.lost[f] = a.now()
-		if p.Size > 0 {
-			a.events.decide(Lost, f, "asked", len(x.GetPassed())+1, "revision", a.view.State().Revision)
-		} else {
-			a.events.count(Lost)
-		}
+		a.lose(x, f, p)
 		return
 	}
 	to := fleetwire.ParseAddress(x.GetNext()[0])
@@ -389,6 +385,23 @@
 	a.forward(to, x, raw)
 }
 
+// lose gives up a flow that no agent holds. If all were asked, its target has ended, and a
+// reset frees the caller.
+func (a *Agent) lose(x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet) {
+	now, s := a.now(), a.view.State()
+	a.lost[f] = now
+	if p.Reset {
+		a.events.count(Lost)
+		return
+	}
+	sure := x.GetSure() && s.Complete && s.Settled(now)
+	a.events.decide(Lost, f, "reset", sure, "complete", s.Complete, "revision", s.Revision, "bytes", p.Size)
+	if sure {
+		a.events.count(Ended)
+		a.link.Caller(f.Caller.Addr(), a.codec.Reset(p))
+	}
+}
+
 // hint notes who has a flow that this agent placed or was asked for.
 func (a *Agent) hint(x *fleetwire.Frame) {
 	owner := fleetwire.ParseAddress(x.GetOrigin())
@@ -497,7 +510,7 @@
 		Kind: fleetwire.Carry_CARRY_DATA, Revision: s.Revision, Zone: string(a.cfg.Zone),
 		Passed: [][]byte{a.self}, Walk: true,
 	}
-	x.Next = a.walk(s, s.Routes[f.Address], x, f)
+	a.walk(s, s.Routes[f.Address], x, f)
 	a.walkOn(x, f, p, raw)
 }
 
