packet, replica: waiting packets, one way for copies, quick early elections

Change: agents that pass an opening packet on remember where; an accepted flow without a request is no work after 150 ms; full targets let opening packets wait an eighth of the route's timeout, at most 150 ms; early elections repeat within 200 ms.

--- a/internal/fleet/realm.go
+++ b/internal/fleet/realm.go
@@ -98,7 +98,10 @@
 // inherit carries over from the route that x replaces what outlives the change.
 func inherit(x, prev *fleetwire.Route) {
 	if !prev.GetGone() && sameShares(x, prev) {
-		x.Former, x.Revision = prev.GetFormer(), prev.GetRevision()
+		x.Former = prev.GetFormer()
+		if x.GetTimeoutMs() == prev.GetTimeoutMs() && x.GetPriority() == prev.GetPriority() {
+			x.Revision = prev.GetRevision()
+		}
 		return
 	}
 	former := slices.Clone(prev.GetFormer())
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -43,6 +43,10 @@
 	Shares []Share
 	// Former are services that may still hold flows of the route.
 	Former []string
+	// Timeout is how long callers wait at most.
+	Timeout time.Duration
+	// Priority is the urgency of the requests; 0 is the highest.
+	Priority int
 }
 
 // Allows reports whether the route sends new flows to a service.
@@ -199,7 +203,9 @@
 			delete(routes, a)
 			continue
 		}
-		route := &Route{Former: x.GetFormer()}
+		route := &Route{
+			Former: x.GetFormer(), Timeout: time.Duration(x.GetTimeoutMs()) * time.Millisecond, Priority: int(x.GetPriority()),
+		}
 		for _, s := range x.GetShares() {
 			route.Shares = append(route.Shares, Share{s.GetService(), s.GetWeight()})
 		}
--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -25,6 +25,9 @@
 	// busyLife is how long a flow counts as work without an answer: the longest time that
 	// callers wait for small answers.
 	busyLife = 2500 * time.Millisecond
+	// requestDelay is how long an accepted flow counts as work without a request: the
+	// caller sends it with its first packet, and the farthest round trip is 20 ms.
+	requestDelay = 150 * time.Millisecond
 	// passLimit is how many agents may pass an opening packet on before the caller gets
 	// a refusal.
 	passLimit = 4
@@ -61,6 +64,8 @@
 	// busy is set while the caller awaits an answer, since asked.
 	busy  bool
 	asked time.Time
+	// requested is set once the caller has sent data.
+	requested bool
 	// closed is set after the last packet of the target.
 	closed bool
 	// acknowledged is the caller's last acknowledgement, for a reset.
@@ -97,6 +102,7 @@
 	offers map[mangokeel.Flow]offer
 	lost   map[mangokeel.Flow]time.Time
 	gate   gate
+	queue  queue
 	loads  map[netip.AddrPort]*estimate
 	// busy and open count the local entries that are busy, and those that are accepted
 	// and not closed.
@@ -182,7 +188,7 @@
 			a.deliver(raw)
 			return
 		}
-		if !e.local() && s.Agents[e.owner] != nil && len(x.GetPassed()) == 0 {
+		if !e.local() && s.Agents[e.owner] != nil && !contains(x.GetPassed(), e.owner) {
 			x.Passed = append(x.Passed, a.self)
 			a.forward(e.owner, x, raw)
 			return
@@ -295,6 +301,7 @@
 func (a *Agent) asked(e *entry, p mangokeel.Packet) {
 	e.acknowledged = p.Acknowledged
 	if p.Size > 0 && !e.closed {
+		e.requested = true
 		a.setBusy(e, true)
 	}
 	if p.Reset || p.Final {
@@ -440,6 +447,7 @@
 	a.answered(f, p)
 	a.events.count(Answered)
 	a.link.Caller(f.Caller.Addr(), raw)
+	a.advance()
 }
 
 // answered notes what the target sent.
@@ -562,12 +570,14 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.now()
+	a.advance()
+	a.expireQueue(now)
 	idle := a.view.State().Idle
 	if idle == 0 {
 		idle = idleDefault
 	}
 	for f, e := range a.flows {
-		if e.busy && now.Sub(e.asked) > busyLife {
+		if since := now.Sub(e.asked); e.busy && (since > busyLife || !e.requested && since > requestDelay) {
 			a.setBusy(e, false)
 		}
 		life := idle + idleSlack
--- a/internal/packet/events.go
+++ b/internal/packet/events.go
@@ -29,6 +29,8 @@
 	// Passed opening packets went to another agent, because this one's target has more
 	// to do or may not take them.
 	Passed
+	// Queued opening packets wait until the target can take them.
+	Queued
 	// Refused flows ended with a reset before anything ran.
 	Refused
 	// Walked packets belong to flows that this agent does not know.
@@ -44,7 +46,7 @@
 func (e Event) String() string {
 	return [...]string{
 		"forwarded", "delivered", "returned", "answered", "dropped", "malformed", "bypassed",
-		"passed", "refused", "walked", "lost", "ended",
+		"passed", "queued", "refused", "walked", "lost", "ended",
 	}[e]
 }
 
--- a/internal/packet/gate.go
+++ b/internal/packet/gate.go
@@ -120,21 +120,28 @@
 	return n < max(coldLeast, int(rate))
 }
 
-// admits reports whether the own target may take a new flow of a service.
-func (a *Agent) admits(s *fleet.State, service string) bool {
+// mayAdmit reports whether the own target takes new flows of a service, now or when it
+// has less to do.
+func (a *Agent) mayAdmit(s *fleet.State, service string) bool {
 	now := a.now()
 	g := &a.gate
 	a.observeZone(s)
+	return g.known && g.ready && g.service == service && !s.Out[a.cfg.Zone] &&
+		(!g.silent(now) || now.Sub(g.probed) >= probePeriod)
+}
+
+// admits reports whether the own target may take a new flow of a service now.
+func (a *Agent) admits(s *fleet.State, service string) bool {
+	now := a.now()
+	g := &a.gate
 	app := s.Services[service]
 	switch {
-	case !g.known || !g.ready || g.service != service || s.Out[a.cfg.Zone]:
+	case !a.mayAdmit(s, service):
 		return false
 	case now.Before(g.fullUntil) || a.busy >= g.slots*queueFactor:
 		return false
 	case app.Connections > 0 && a.open >= app.Connections:
 		return false
-	case g.silent(now) && now.Sub(g.probed) < probePeriod:
-		return false
 	case g.coldNow(now) && !g.bears(now, app.ColdRate):
 		return false
 	}
--- a/internal/packet/place.go
+++ b/internal/packet/place.go
@@ -43,7 +43,7 @@
 
 // load returns what this agent tells of its target.
 func (a *Agent) load() *fleetwire.Load {
-	return &fleetwire.Load{Busy: uint32(max(0, a.busy)), Flows: uint32(max(0, a.open)), Slots: uint32(a.gate.slots)}
+	return &fleetwire.Load{Busy: uint32(max(0, a.busy) + len(a.queue.list)), Flows: uint32(max(0, a.open)), Slots: uint32(a.gate.slots)}
 }
 
 // learn takes over what the sender of a frame says of its load.
@@ -89,41 +89,44 @@
 		a.refuse(x, f, p, "no route")
 		return
 	}
-	own := a.admits(s, service)
+	own := len(a.queue.list) == 0 && a.admits(s, service)
 	if own && a.busy < a.gate.slots {
 		a.accept(x, f, p, raw)
 		return
 	}
 	if len(x.GetPassed()) < passLimit {
-		if t := a.better(s, x, f, service, own); t != nil {
-			a.passTo(t, x, f, raw)
+		if t := a.better(s, x, f, service, false); t != nil {
+			a.passTo(t, x, f, p, raw)
 			return
 		}
 	}
-	if own {
+	switch {
+	case own:
 		a.accept(x, f, p, raw)
-		return
+	case a.mayAdmit(s, service) && a.wait(x, f, p, raw):
+	default:
+		a.refuse(x, f, p, "no target takes the flow")
 	}
-	a.refuse(x, f, p, "no target takes the flow")
 }
 
 // pass finds another target after the own one did not take a flow.
 func (a *Agent) pass(s *fleet.State, x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
 	service, ok := a.choose(s, x, f)
 	if ok && len(x.GetPassed()) < passLimit {
-		if t := a.better(s, x, f, service, false); t != nil {
-			a.passTo(t, x, f, raw)
+		if t := a.better(s, x, f, service, true); t != nil {
+			a.passTo(t, x, f, p, raw)
 			return
 		}
 	}
+	if ok && a.mayAdmit(s, service) && a.wait(x, f, p, raw) {
+		return
+	}
 	a.refuse(x, f, p, "no target takes the flow")
 }
 
-func (a *Agent) passTo(t *fleet.Target, x *fleetwire.Frame, f mangokeel.Flow, raw []byte) {
-	if len(x.GetPassed()) == 0 {
-		opened, _ := a.codec.Parse(raw)
-		a.flows[f] = &entry{owner: t.Agent, opened: opened.Sequence, seen: a.now()}
-	}
+func (a *Agent) passTo(t *fleet.Target, x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
+	// Copies of the packet must take the same way, or two targets open the flow.
+	a.flows[f] = &entry{owner: t.Agent, opened: p.Sequence, seen: a.now()}
 	e := a.loads[t.Agent]
 	if e == nil {
 		e = &estimate{at: a.now()}
@@ -137,15 +140,16 @@
 }
 
 // better returns the target with the least expected work among those that may take a flow
-// and have not passed it on. When the own target may take it, only one with less work is
-// better.
-func (a *Agent) better(s *fleet.State, x *fleetwire.Frame, f mangokeel.Flow, service string, own bool) *fleet.Target {
+// and have not passed it on. Unless the own target has returned it, only one with less work
+// is better.
+func (a *Agent) better(s *fleet.State, x *fleetwire.Frame, f mangokeel.Flow, service string, returned bool) *fleet.Target {
 	now := a.now()
 	var best *fleet.Target
 	var least float64
+	own := !returned && a.mayAdmit(s, service)
 	zone := mangokeel.AvailabilityZone(x.GetZone())
 	if own {
-		least = a.cost(float64(a.busy), a.gate.slots, a.cfg.Zone != zone, a.gate.coldNow(now))
+		least = a.cost(float64(a.busy+len(a.queue.list)), a.gate.slots, a.cfg.Zone != zone, a.gate.coldNow(now))
 	}
 	a.order = s.Order(a.order[:0], service, zone, hashOf(f))
 	for _, t := range a.order {
--- /dev/null
+++ b/internal/packet/queue.go
@@ -0,0 +1,117 @@
+package packet
+
+import (
+	"slices"
+	"time"
+
+	"mangokeel"
+	"mangokeel/internal/fleetwire"
+)
+
+const (
+	// waitShare is the part of a route's timeout for which an opening packet may wait for
+	// its target. The caller needs the rest for the request itself and for a retry.
+	waitShare = 8
+	// waitMost bounds the wait: callers send a copy after 200 ms.
+	waitMost = 150 * time.Millisecond
+	// waitDefault is the wait where the route is not known.
+	waitDefault = 100 * time.Millisecond
+	// queueLimit is how many opening packets may wait for each slot.
+	queueLimit = 16
+)
+
+// waiting is an opening packet that waits until its target can take it.
+type waiting struct {
+	frame    *fleetwire.Frame
+	flow     mangokeel.Flow
+	packet   mangokeel.Packet
+	raw      []byte
+	priority int
+	until    time.Time
+}
+
+// queue holds opening packets, the most urgent first and the oldest first among equals.
+// Waiting is better than a refusal in a short overload: callers repeat refused requests
+// within milliseconds and have few repetitions.
+type queue struct {
+	list []waiting
+}
+
+// has reports whether a flow waits.
+func (q *queue) has(f mangokeel.Flow) bool {
+	return slices.ContainsFunc(q.list, func(w waiting) bool { return w.flow == f })
+}
+
+// add puts w behind all that are as urgent.
+func (q *queue) add(w waiting) {
+	i := len(q.list)
+	for i > 0 && q.list[i-1].priority > w.priority {
+		i--
+	}
+	q.list = slices.Insert(q.list, i, w)
+}
+
+// next removes and returns the first one.
+func (q *queue) next() (waiting, bool) {
+	if len(q.list) == 0 {
+		return waiting{}, false
+	}
+	w := q.list[0]
+	q.list = slices.Delete(q.list, 0, 1)
+	return w, true
+}
+
+// expired removes and returns those that have waited long enough.
+func (q *queue) expired(now time.Time) (out []waiting) {
+	q.list = slices.DeleteFunc(q.list, func(w waiting) bool {
+		if now.Before(w.until) {
+			return false
+		}
+		out = append(out, w)
+		return true
+	})
+	return out
+}
+
+// wait queues an opening packet and reports whether there was room.
+func (a *Agent) wait(x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) bool {
+	if a.queue.has(f) {
+		return true
+	}
+	if len(a.queue.list) >= a.gate.slots*queueLimit {
+		return false
+	}
+	d, priority := waitDefault, 0
+	if route := a.view.State().Routes[f.Address]; route != nil {
+		d, priority = min(route.Timeout/waitShare, waitMost), route.Priority
+	}
+	a.events.count(Queued)
+	a.queue.add(waiting{x, f, p, slices.Clone(raw), priority, a.now().Add(d)})
+	return true
+}
+
+// advance gives waiting packets to the target while it takes them.
+func (a *Agent) advance() {
+	s := a.view.State()
+	for len(a.queue.list) > 0 {
+		w := a.queue.list[0]
+		service, ok := a.choose(s, w.frame, w.flow)
+		if ok && a.admits(s, service) {
+			a.queue.next()
+			a.accept(w.frame, w.flow, w.packet, w.raw)
+			continue
+		}
+		if ok && a.mayAdmit(s, service) {
+			return // the target is full, so that those behind must wait too
+		}
+		a.queue.next()
+		a.pass(s, w.frame, w.flow, w.packet, w.raw)
+	}
+}
+
+// expireQueue refuses what has waited long enough.
+func (a *Agent) expireQueue(now time.Time) {
+	for _, w := range a.queue.expired(now) {
+		a.refuse(w.frame, w.flow, w.packet, "waited too long")
+	}
+}
--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -18,10 +18,11 @@
 	// from a leader.
 	minElection = 500 * time.Millisecond
 	maxElection = 1000 * time.Millisecond
-	// firstElection bounds the first election timeout after a start. It is below
-	// minElection because pre-votes protect a working leader, and after a loss of all
-	// power there is none to wait for.
+	// firstElection bounds election timeouts within starting of a start, while no leader
+	// was heard of. It is below minElection because pre-votes protect a working leader,
+	// and after a loss of all power there is none to wait for.
 	firstElection = 150 * time.Millisecond
+	starting      = 2 * time.Second
 	// identifyInterval separates the questions of the first start. Instances start
 	// within some 300 ms of each other.
 	identifyInterval = 200 * time.Millisecond
@@ -118,6 +119,8 @@
 	bootstrap []netip.AddrPort
 	opts      options
 
+	// started is the time of the start.
+	started time.Time
 	// now never falls within a span.
 	now time.Time
 	// span counts how often the clock went backwards; zero is the time at which
@@ -200,7 +203,8 @@
 		c.bootstrap = append(c.bootstrap, m.Address)
 	}
 	c.findMembership()
-	c.deadline = c.now.Add(time.Duration(c.opts.rand.Int64N(int64(firstElection))))
+	c.started = now
+	c.resetDeadline()
 	return c
 }
 
@@ -238,6 +242,10 @@
 }
 
 func (c *core) resetDeadline() {
+	if c.leader == "" && c.span == 0 && c.now.Sub(c.started) < starting {
+		c.deadline = c.now.Add(firstElection/3 + time.Duration(c.opts.rand.Int64N(int64(firstElection))))
+		return
+	}
 	spread := time.Duration(c.opts.rand.Int64N(int64(maxElection - minElection)))
 	c.deadline = c.now.Add(minElection + spread)
 }
