fleet: news do not starve polls; silent agents keep their flows

Change: only polls that control holds open are ended; a silent agent stays in the view for 15 s, without new flows, asked last. Also: agents notice others that do not answer; callers' copies go to another agent; standin/model, a fleet on virtual time, and its tests.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -42,7 +42,9 @@
 	gone string
 	// heard is when a leader last answered.
 	heard time.Time
-	// hurry ends a poll under way, so that the next one is sent at once.
+	// hurry ends the poll under way if control may hold it open; again makes the next one
+	// return at once. A poll that returns at once is never ended, or news that come
+	// faster than polls return would starve them all.
 	hurry context.CancelFunc
 	again bool
 
@@ -145,7 +147,10 @@
 		Node: f.node, Realm: f.view.State().Revision, Reign: f.reign, Registry: f.registry,
 		Wait: f.connected && !f.again, Gone: f.gone,
 	}
-	f.again, f.hurry = false, cancel
+	f.again, f.hurry = false, nil
+	if req.GetWait() {
+		f.hurry = cancel
+	}
 	f.mu.Unlock()
 	req.Announcement = f.announce()
 	var out fleetwire.PollReply
@@ -226,7 +231,7 @@
 		_ = level.Info(f.logger).Log("msg", "control reached", "at", addr, "revision", out.GetRealm(), "targets", len(out.GetAnnouncements()))
 	}
 	f.leader, f.connected = addr, true
-	changed := f.view.apply(out, time.Now())
+	changed := f.view.Apply(out, time.Now())
 	f.reign, f.registry = out.GetReign(), out.GetRegistry()
 	if out.GetComplete() && !f.complete && !out.GetAll() {
 		// Records that an additive list left in place must be compared with the whole.
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -4,6 +4,8 @@
 	"sync"
 	"time"
 
+	"google.golang.org/protobuf/proto"
+
 	"mangokeel/internal/fleetwire"
 )
 
@@ -12,6 +14,9 @@
 	// lease is how long an agent's record lasts without a poll: two polls of pollHold
 	// and one of callTimeout may fail.
 	lease = 3 * time.Second
+	// forgotten is how long a silent agent's target may still hold flows that its agent
+	// serves: cuts between nodes and control last for seconds.
+	forgotten = 15 * time.Second
 	// gathering is how long a new leader's registry may lack live agents: an agent
 	// notices the loss within callTimeout and needs one more call to find the leader.
 	gathering = 2500 * time.Millisecond
@@ -41,9 +46,9 @@
 	began    time.Time
 	revision uint64
 	records  map[string]*record
-	// removals is in ascending order; those up to forgotten are no longer in it.
+	// removals is in ascending order; those up to dropped are no longer in it.
 	removals  []removal
-	forgotten uint64
+	dropped   uint64
 	changed   chan struct{}
 }
 
@@ -59,7 +64,7 @@
 		return
 	}
 	g.reign, g.began, g.revision = reign, now, 0
-	g.records, g.removals, g.forgotten = map[string]*record{}, nil, 0
+	g.records, g.removals, g.dropped = map[string]*record{}, nil, 0
 	g.notify()
 }
 
@@ -79,7 +84,7 @@
 	}
 	r := &record{a: a, heard: now}
 	g.records[a.GetAgent()] = r
-	if old != nil && old.a.GetStart() == a.GetStart() && old.a.GetSerial() == a.GetSerial() {
+	if old != nil && old.a.GetStart() == a.GetStart() && old.a.GetSerial() == a.GetSerial() && old.a.GetState() == a.GetState() {
 		r.revision = old.revision
 		return false
 	}
@@ -104,25 +109,31 @@
 	g.revision++
 	g.removals = append(g.removals, removal{agent, g.revision})
 	if n := len(g.removals) - removalLimit; n > 0 {
-		g.forgotten = g.removals[n-1].revision
+		g.dropped = g.removals[n-1].revision
 		g.removals = g.removals[n:]
 	}
 	g.notify()
 	return true
 }
 
-// expire removes the records whose lease has ended and returns their agents.
+// expire marks the records whose lease has ended, returns their agents, and removes those
+// that have been silent for long.
 func (g *registry) expire(now time.Time) (ended []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	for agent, r := range g.records {
-		if now.Sub(r.heard) > lease {
+		switch silent := now.Sub(r.heard); {
+		case silent > forgotten:
+			g.drop(agent)
+		case silent > lease && r.a.GetState() != fleetwire.State_STATE_SILENT:
+			r.a = proto.CloneOf(r.a)
+			r.a.State = fleetwire.State_STATE_SILENT
+			g.revision++
+			r.revision = g.revision
+			g.notify()
 			ended = append(ended, agent)
 		}
 	}
-	for _, agent := range ended {
-		g.drop(agent)
-	}
 	return ended
 }
 
@@ -139,7 +150,7 @@
 	defer g.mu.Unlock()
 	out.Reign, out.Registry = g.reign, g.revision
 	out.Complete = now.Sub(g.began) > gathering
-	out.All = reign != g.reign || revision < g.forgotten || revision > g.revision
+	out.All = reign != g.reign || revision < g.dropped || revision > g.revision
 	if out.GetAll() {
 		revision = 0
 	}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -23,6 +23,8 @@
 	Service string
 	// Ready is false while the target drains.
 	Ready bool
+	// Silent is set while the agent's lease has ended. The target may hold flows.
+	Silent bool
 	// Cold is set while the target bears little.
 	Cold  bool
 	Slots int
@@ -114,16 +116,19 @@
 }
 
 // Order returns the targets of a service in the order in which they are responsible for a
-// flow: those in zone first, then by rendezvous hash. It appends to list.
+// flow: silent ones last, those in zone first, then by rendezvous hash. It appends to list.
 func (s *State) Order(list []*Target, service string, zone mangokeel.AvailabilityZone, flow uint64) []*Target {
 	start := len(list)
 	list = append(list, s.Targets[service]...)
 	rank := func(t *Target) uint64 {
-		h := mix(t.hash ^ flow)
+		h := mix(t.hash^flow) >> 2
 		if t.Zone == zone {
-			return h | 1<<63
+			h |= 1 << 62
 		}
-		return h &^ (1 << 63)
+		if !t.Silent {
+			h |= 1 << 63
+		}
+		return h
 	}
 	slices.SortFunc(list[start:], func(a, b *Target) int {
 		ra, rb := rank(a), rank(b)
@@ -164,8 +169,8 @@
 	return &State{}
 }
 
-// apply takes over a leader's answer and reports whether anything changed.
-func (v *View) apply(r *fleetwire.PollReply, now time.Time) bool {
+// Apply takes over a leader's answer and reports whether anything changed.
+func (v *View) Apply(r *fleetwire.PollReply, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
 	old := v.State()
@@ -255,7 +260,8 @@
 	for _, a := range r.GetAnnouncements() {
 		old := v.announced[a.GetAgent()]
 		v.announced[a.GetAgent()] = a
-		changed = changed || old == nil || old.GetSerial() != a.GetSerial() || old.GetStart() != a.GetStart()
+		changed = changed || old == nil || old.GetSerial() != a.GetSerial() ||
+			old.GetStart() != a.GetStart() || old.GetState() != a.GetState()
 	}
 	return changed
 }
@@ -270,7 +276,7 @@
 		}
 		t := &Target{
 			Agent: agent, Zone: mangokeel.AvailabilityZone(a.GetZone()), Service: a.GetService(),
-			Ready: a.GetState() == fleetwire.State_STATE_READY, Cold: a.GetCold(),
+			Ready: a.GetState() == fleetwire.State_STATE_READY, Silent: a.GetState() == fleetwire.State_STATE_SILENT, Cold: a.GetCold(),
 			Slots: int(a.GetLoad().GetSlots()), Start: a.GetStart(),
 			hash: xxhash.Sum64String(a.GetAgent()),
 		}
--- a/internal/packet/balancer.go
+++ b/internal/packet/balancer.go
@@ -67,8 +67,8 @@
 	events *Events
 	newer  func()
 
-	mu       sync.Mutex
-	hints    map[mangokeel.Flow]hint
+	mu    sync.Mutex
+	hints map[mangokeel.Flow]hint
 	// openings are the flows that were opened within copyWindow.
 	openings map[mangokeel.Flow]opening
 	patience map[netip.AddrPort]*patience
@@ -158,16 +158,17 @@
 	}
 	now := b.now()
 	first := b.order[0]
+	to := b.heard(now)
 	// Copies whose first packet went elsewhere say nothing about the agent.
-	if x, ok := b.openings[f]; ok && p.Copy > 0 && x.agent == first.Agent {
-		b.copied(first.Agent, now)
+	if x, ok := b.openings[f]; ok && p.Copy > 0 && x.agent == to.Agent {
+		b.copied(to.Agent, now)
+		to = b.another(to, now)
 	}
-	to := b.heard(now)
 	b.openings[f] = opening{to.Agent, now}
 	if to != first {
 		// Agents do not tell about flows that they place as the first to be asked.
 		b.hints[f] = hint{to.Agent, now}
-		b.events.decide(Bypassed, f, "silent", first.Agent, "to", to.Agent, "copy", p.Copy)
+		b.events.decide(Bypassed, f, "first", first.Agent, "to", to.Agent, "copy", p.Copy)
 	}
 	b.send(to.Agent, fleetwire.Carry_CARRY_OPEN, s.Revision, service, raw)
 }
@@ -183,6 +184,16 @@
 	return b.order[0]
 }
 
+// another returns the first target in the order that is heard besides t, or t.
+func (b *Balancer) another(t *fleet.Target, now time.Time) *fleet.Target {
+	for _, u := range b.order {
+		if x := b.patience[u.Agent]; u != t && (x == nil || !now.Before(x.until)) {
+			return u
+		}
+	}
+	return t
+}
+
 // copied counts a copy of an opening packet. Copies are only sent when no answer came.
 func (b *Balancer) copied(agent netip.AddrPort, now time.Time) {
 	x := b.patience[agent]
--- /dev/null
+++ b/internal/packet/fleet_test.go
@@ -0,0 +1,324 @@
+package packet_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mangokeel"
+	"mangokeel/internal/fleetwire"
+	"mangokeel/standin/model"
+)
+
+var (
+	target = model.TargetConfig{Service: "s", Slots: 2, Queue: 8, Work: 15 * time.Millisecond, ColdFactor: 1.6}
+	fresh  = model.LoadConfig{Aim: 100 * time.Millisecond, Deadline: 1500 * time.Millisecond, Retries: 2}
+)
+
+// newFleet returns seven targets and six balancers in three zones.
+func newFleet(seed uint64) *model.Fleet {
+	m := model.NewFleet(seed)
+	for i := range 7 {
+		m.AddHost(zoneOf(i), target)
+	}
+	for i := range 6 {
+		m.AddBalancer(zoneOf(i))
+	}
+	m.Run(2 * time.Second) // all nodes are settled
+	return m
+}
+
+func load(perSecond float64, d time.Duration) model.LoadConfig {
+	cfg := fresh
+	cfg.PerSecond, cfg.For = perSecond, d
+	return cfg
+}
+
+func check(c *qt.C, m *model.Fleet) {
+	c.Helper()
+	c.Assert(m.Faults(), qt.HasLen, 0)
+	c.Assert(m.Stats.Broken, qt.Equals, 0, qt.Commentf("%v", m.Stats))
+	s := m.Stats
+	c.Assert(s.Asked, qt.Equals, s.InAim+s.Late+s.Failed, qt.Commentf("%v", s))
+}
+
+// Guards against a path that loses or delays packets without any fault.
+func TestCalm(t *testing.T) {
+	c := qt.New(t)
+	m := newFleet(1)
+	m.Load(load(300, 10*time.Second))
+	m.Run(13 * time.Second)
+	check(c, m)
+	c.Assert(m.Stats.Failed, qt.Equals, 0)
+	c.Assert(m.Stats.InAim >= m.Stats.Asked*99/100, qt.IsTrue, qt.Commentf("%v", m.Stats))
+}
+
+// Guards against flows that end because the fabric moves nearly all of them to other
+// balancers at each change, while balancers restart without any state.
+func TestBalancersRoll(t *testing.T) {
+	c := qt.New(t)
+	m := newFleet(2)
+	cfg := load(20, 5*time.Second)
+	cfg.Requests, cfg.Pause = 20, 300*time.Millisecond
+	m.Load(cfg)
+	for range 3 {
+		for _, b := range m.Balancers {
+			b.Ready = false
+			m.Run(300 * time.Millisecond)
+			m.Restart(b)
+			b.Ready = true
+		}
+	}
+	m.Run(20 * time.Second)
+	check(c, m)
+	c.Assert(m.Stats.Resets, qt.Equals, 0)
+	c.Assert(m.Stats.Failed, qt.Equals, 0, qt.Commentf("%v", m.Stats))
+}
+
+// Guards against flows that end because their agent, or the agent that placed them, was
+// started again and has forgotten them: the target still holds them.
+func TestAgentsRestart(t *testing.T) {
+	c := qt.New(t)
+	m := newFleet(3)
+	cfg := load(20, 5*time.Second)
+	cfg.Requests, cfg.Pause = 20, 300*time.Millisecond
+	m.Load(cfg)
+	for _, h := range m.Hosts {
+		h.StopAgent()
+		m.Run(200 * time.Millisecond)
+		h.StartAgent()
+		m.Run(300 * time.Millisecond)
+	}
+	m.Run(20 * time.Second)
+	check(c, m)
+	c.Assert(m.Stats.Failed <= m.Stats.Asked/500, qt.IsTrue, qt.Commentf("%v", m.Stats))
+}
+
+// Guards against flows that end when targets join: they take over the first place in the
+// order of some flows.
+func TestTargetsJoin(t *testing.T) {
+	c := qt.New(t)
+	m := newFleet(4)
+	cfg := load(20, 5*time.Second)
+	cfg.Requests, cfg.Pause = 20, 300*time.Millisecond
+	m.Load(cfg)
+	for i := range 5 {
+		m.Run(time.Second)
+		m.AddHost(zoneOf(i), target)
+	}
+	m.Run(20 * time.Second)
+	check(c, m)
+	c.Assert(m.Stats.Resets, qt.Equals, 0)
+	c.Assert(m.Stats.Failed, qt.Equals, 0, qt.Commentf("%v", m.Stats))
+}
+
+// Guards against a collapse that outlasts its cause: flows that were opened for callers
+// who had gone counted as work, until no target took anything. Load pattern: an outage of
+// two seconds, after which all callers come at once to cold targets.
+func TestOutageThenAllAtOnce(t *testing.T) {
+	c := qt.New(t)
+	m := newFleet(5)
+	m.Load(load(380, 20*time.Second))
+	m.Run(4 * time.Second)
+	for _, h := range m.Hosts {
+		h.StopAgent()
+		h.Target.ColdUntil = m.Now().Add(4 * time.Second)
+	}
+	m.Run(2 * time.Second)
+	for _, h := range m.Hosts {
+		h.StartTarget(target)
+		h.Target.ColdUntil = m.Now().Add(2 * time.Second)
+		h.StartAgent()
+	}
+	m.Run(4 * time.Second)
+	before := m.Stats
+	m.Run(8 * time.Second)
+	after := m.Stats
+	asked, inAim := after.Asked-before.Asked, after.InAim-before.InAim
+	c.Assert(inAim >= asked*95/100, qt.IsTrue, qt.Commentf("%d of %d in aim from 4 s after the outage", inAim, asked))
+}
+
+// Guards against a collapse under lasting overload: at twice the capacity the targets must
+// stay as busy as at the capacity.
+func TestOverload(t *testing.T) {
+	c := qt.New(t)
+	m := newFleet(6)
+	m.Load(load(1800, 6*time.Second))
+	m.Run(9 * time.Second)
+	check(c, m)
+	served := 0
+	for _, h := range m.Hosts {
+		served += h.Target.Served
+	}
+	const capacity = 7 * 2 * 6 * 1000 / 15 // slots, seconds, work
+	c.Assert(served >= capacity*9/10, qt.IsTrue, qt.Commentf("%d of %d, %v", served, capacity, m.Stats))
+	c.Assert(m.Stats.InAim+m.Stats.Late >= capacity*8/10, qt.IsTrue, qt.Commentf("%v", m.Stats))
+}
+
+// Guards against slow targets that get as much as others. Load pattern: two of seven
+// targets take five times as long.
+func TestSlowTargets(t *testing.T) {
+	c := qt.New(t)
+	m := newFleet(7)
+	m.Hosts[0].Target.Factor, m.Hosts[3].Target.Factor = 5, 5
+	m.Load(load(380, 10*time.Second))
+	m.Run(13 * time.Second)
+	check(c, m)
+	c.Assert(m.Stats.InAim >= m.Stats.Asked*85/100, qt.IsTrue, qt.Commentf("%v", m.Stats))
+}
+
+// Guards against new flows for a target after its agent has acknowledged that it drains,
+// and against the end of those that it has.
+func TestDrain(t *testing.T) {
+	c := qt.New(t)
+	m := newFleet(8)
+	cfg := load(40, 8*time.Second)
+	cfg.Requests, cfg.Pause = 6, 300*time.Millisecond
+	m.Load(cfg)
+	m.Run(3 * time.Second)
+	h := m.Hosts[1]
+	h.Target.Draining = true
+	h.Report()
+	at := m.Now()
+	m.Run(12 * time.Second)
+	check(c, m)
+	c.Assert(m.Stats.Failed, qt.Equals, 0, qt.Commentf("%v", m.Stats))
+	last := h.Target.Opened[len(h.Target.Opened)-1]
+	c.Assert(last.Sub(at) < time.Millisecond, qt.IsTrue, qt.Commentf("opened %v after the report", last.Sub(at)))
+}
+
+// Guards against new flows in a zone that is out of service, and against more than a cold
+// target bears when the zone comes back before the target has reported.
+func TestZoneOutAndBackCold(t *testing.T) {
+	c := qt.New(t)
+	m := newFleet(9)
+	m.Services[0].ColdRate = 4
+	m.Revision = 2
+	m.Load(load(380, 14*time.Second))
+	m.Run(3 * time.Second)
+	m.Zones = []*fleetwire.ZoneState{{Name: "b", Out: true, Revision: 3}}
+	m.Revision = 3
+	m.Poll()
+	out := m.Now()
+	m.Run(4 * time.Second)
+	m.Zones = []*fleetwire.ZoneState{{Name: "b", Revision: 4}}
+	m.Revision = 4
+	for _, h := range m.Hosts {
+		if h.Zone == "b" {
+			h.Target.ColdUntil = m.Now().Add(3 * time.Second)
+		}
+	}
+	m.Poll()
+	back := m.Now()
+	m.Run(12 * time.Second)
+	check(c, m)
+	for _, h := range m.Hosts {
+		if h.Zone != "b" {
+			continue
+		}
+		var cold []time.Time
+		for _, at := range h.Target.Opened {
+			c.Assert(at.Sub(out) > time.Millisecond && at.Before(back), qt.IsFalse)
+			if !at.Before(back) && at.Before(back.Add(3*time.Second)) {
+				cold = append(cold, at)
+			}
+		}
+		c.Assert(len(cold) > 0, qt.IsTrue)
+		for i := range cold {
+			n := 0
+			for _, at := range cold[i:] {
+				if at.Sub(cold[i]) < time.Second {
+					n++
+				}
+			}
+			c.Assert(n <= 4, qt.IsTrue, qt.Commentf("%d in a second", n))
+		}
+	}
+}
+
+// Guards against callers that wait until their deadline because the first agent of their
+// flow is gone and nobody has noticed yet.
+func TestDeadAgentIsBypassed(t *testing.T) {
+	c := qt.New(t)
+	m := newFleet(10)
+	m.Load(load(300, 6*time.Second))
+	m.Run(2 * time.Second)
+	h := m.Hosts[2]
+	h.StopAgent() // its lease still holds
+	m.Run(time.Second)
+	before := m.Stats
+	m.Run(2 * time.Second)
+	after := m.Stats
+	asked, inAim := after.Asked-before.Asked, after.InAim-before.InAim
+	c.Assert(inAim >= asked*95/100, qt.IsTrue, qt.Commentf("%d of %d in aim", inAim, asked))
+}
+
+// Guards against new flows for a target that takes packets and answers nothing.
+func TestMuteTargetGetsFewFlows(t *testing.T) {
+	c := qt.New(t)
+	m := newFleet(11)
+	m.Hosts[4].Target.Mute = true
+	m.Load(load(300, 8*time.Second))
+	m.Run(2 * time.Second)
+	before := m.Stats
+	m.Run(9 * time.Second)
+	after := m.Stats
+	asked := after.Asked - before.Asked
+	c.Assert(after.InAim-before.InAim >= asked*97/100, qt.IsTrue, qt.Commentf("%v, before %v", after, before))
+}
+
+// Guards against callers of an ended target that hear nothing: their flows end with a reset,
+// and a request that may be repeated runs elsewhere at once.
+func TestTargetStartsAgain(t *testing.T) {
+	c := qt.New(t)
+	m := newFleet(12)
+	cfg := load(20, 5*time.Second)
+	cfg.Requests, cfg.Pause = 20, 300*time.Millisecond
+	m.Load(cfg)
+	m.Run(4 * time.Second)
+	m.Hosts[0].StartTarget(target)
+	m.Hosts[0].Report()
+	m.Run(20 * time.Second)
+	check(c, m)
+	c.Assert(m.Stats.Resets > 0, qt.IsTrue)
+	c.Assert(m.Stats.Failed, qt.Equals, 0, qt.Commentf("%v", m.Stats))
+}
+
+// Guards against resets of living flows: an agent that does not know all others must not
+// conclude from their silence that a flow has no target.
+func TestNoResetWithoutACompleteView(t *testing.T) {
+	c := qt.New(t)
+	m := newFleet(13)
+	cfg := load(20, 5*time.Second)
+	cfg.Requests, cfg.Pause = 20, 300*time.Millisecond
+	m.Load(cfg)
+	m.Run(3 * time.Second)
+	m.Complete = false
+	for _, h := range m.Hosts {
+		m.Freeze(h.Agent, true)
+		h.StopAgent()
+		h.StartAgent()
+		m.Run(100 * time.Millisecond)
+		m.Freeze(h.Agent, false)
+	}
+	m.Run(3 * time.Second)
+	m.Complete = true
+	m.Run(20 * time.Second)
+	check(c, m)
+}
+
+// Guards against two targets that open one flow, under loss of frames.
+func TestLoss(t *testing.T) {
+	c := qt.New(t)
+	m := newFleet(14)
+	m.Loss = 0.05
+	m.Load(load(300, 10*time.Second))
+	m.Run(13 * time.Second)
+	check(c, m)
+	c.Assert(m.Stats.Failed <= m.Stats.Asked/50, qt.IsTrue, qt.Commentf("%v", m.Stats))
+}
+
+func zoneOf(i int) mangokeel.AvailabilityZone {
+	return [...]mangokeel.AvailabilityZone{"a", "b", "c"}[i%3]
+}
--- a/internal/packet/place.go
+++ b/internal/packet/place.go
@@ -18,6 +18,13 @@
 	awayCost = 0.2
 	// coldCost is what a cold target costs more.
 	coldCost = 1.0
+	// answerLimit is how long an agent may leave passed flows unanswered before it counts
+	// as silent: it accepts them within waitMost.
+	answerLimit = waitMost + 50*time.Millisecond
+	// answerLeast is how many flows it takes.
+	answerLeast = 2
+	// answerRetry is how often a silent agent gets a flow all the same.
+	answerRetry = time.Second
 	// queueFactor is how much work for each slot a target takes before it refuses more:
 	// hosts queue a few requests for each slot.
 	queueFactor = 5
@@ -29,7 +36,25 @@
 	at   time.Time
 	// placed counts the flows that this agent has sent there since.
 	placed float64
-	flows  int
+	// unanswered counts the flows passed to the agent since it last said anything,
+	// waiting is the time of the first of them and passed of the last.
+	unanswered      int
+	waiting, passed time.Time
+}
+
+// silent reports whether the agent does not answer.
+func (e *estimate) silent(now time.Time) bool {
+	return e != nil && e.unanswered >= answerLeast && now.Sub(e.waiting) > answerLimit && now.Sub(e.passed) < answerRetry
+}
+
+// pass notes a flow that is passed to the agent.
+func (e *estimate) pass(now time.Time) {
+	if e.unanswered == 0 {
+		e.waiting = now
+	}
+	e.unanswered++
+	e.placed++
+	e.passed = now
 }
 
 // value returns the work in progress that is to be expected.
@@ -60,7 +85,7 @@
 		from = fleetwire.ParseAddress(passed[len(passed)-1])
 	}
 	if from.IsValid() {
-		a.loads[from] = &estimate{busy: float64(l.GetBusy()), at: a.now(), flows: int(l.GetFlows())}
+		a.loads[from] = &estimate{busy: float64(l.GetBusy()), at: a.now()}
 	}
 }
 
@@ -132,7 +157,7 @@
 		e = &estimate{at: a.now()}
 		a.loads[t.Agent] = e
 	}
-	e.placed++
+	e.pass(a.now())
 	a.events.decide(Passed, f, "to", t.Agent, "busy", a.busy, "slots", a.gate.slots, "expected", e.value(a.now()),
 		"ready", a.gate.ready, "hop", len(x.GetPassed()), "revision", x.GetRevision())
 	x.Passed = append(x.Passed, a.self)
@@ -153,7 +178,8 @@
 	}
 	a.order = s.Order(a.order[:0], service, zone, hashOf(f))
 	for _, t := range a.order {
-		if t.Agent == a.cfg.Address || !t.Ready || s.Out[t.Zone] || contains(x.GetPassed(), t.Agent) {
+		if t.Agent == a.cfg.Address || !t.Ready || s.Out[t.Zone] || contains(x.GetPassed(), t.Agent) ||
+			a.loads[t.Agent].silent(now) {
 			continue
 		}
 		c := a.cost(a.loads[t.Agent].value(now), t.Slots, t.Zone != zone, t.Cold)
--- /dev/null
+++ b/standin/model/fleet.go
@@ -0,0 +1,298 @@
+// Package model is a fleet of balancers, agents, targets and callers on virtual time.
+//
+// The balancers and agents are the real ones of internal/packet; the network between them,
+// the targets and the callers are models. A fleet is the tool for load and fault experiments
+// without a network: the same seed gives the same run.
+//
+//	m := model.NewFleet(seed, model.WithRoute(...))
+//	h := m.AddHost("zone-a", model.TargetConfig{...})
+//	m.AddBalancer("zone-a")
+//	m.Load(model.LoadConfig{PerSecond: 300, ...})
+//	m.Run(10 * time.Second)
+//	fmt.Println(m.Stats)
+package model
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"net/netip"
+	"time"
+
+	"mangokeel"
+	"mangokeel/internal/fleet"
+	"mangokeel/internal/fleetwire"
+	"mangokeel/internal/packet"
+	"mangokeel/internal/timer"
+)
+
+// Delays of the network, one way.
+const (
+	localDelay  = 50 * time.Microsecond
+	zoneDelay   = 100 * time.Microsecond
+	awayDelay   = 1400 * time.Microsecond
+	callerDelay = 3 * time.Millisecond
+	// pollPeriod is how often nodes hear of changes, reportPeriod how often targets
+	// report, and sweepPeriod how often nodes drop what has expired.
+	pollPeriod   = 100 * time.Millisecond
+	reportPeriod = 770 * time.Millisecond
+	sweepPeriod  = 50 * time.Millisecond
+)
+
+// Host is an instance with an agent and a target.
+type Host struct {
+	Zone   mangokeel.AvailabilityZone
+	Agent  netip.AddrPort
+	Target *Target
+
+	fleet *Fleet
+	agent *packet.Agent
+	view  *fleet.View
+	// number tells the target's answers to opening packets from those of others.
+	number uint32
+	starts uint64
+}
+
+// Balancer is a balancer of the fleet.
+type Balancer struct {
+	Zone mangokeel.AvailabilityZone
+	// Ready balancers get packets of the callers in their zone.
+	Ready bool
+
+	address  netip.AddrPort
+	balancer *packet.Balancer
+	view     *fleet.View
+}
+
+// Fleet is a whole deployment. Its methods are not safe for concurrent use.
+type Fleet struct {
+	Hosts     []*Host
+	Balancers []*Balancer
+	Stats     Stats
+	// Loss is the share of frames that are lost.
+	Loss float64
+	// Complete and Revision are what control tells.
+	Complete bool
+	Revision uint64
+	Routes   []*fleetwire.Route
+	Services []*fleetwire.Application
+	Zones    []*fleetwire.ZoneState
+
+	timers  *timer.Virtual
+	rand    *rand.Rand
+	callers map[netip.AddrPort]*caller
+	next    uint32
+	faults  []string
+	frozen  map[netip.AddrPort]bool
+}
+
+// NewFleet returns a fleet without nodes that has one route to a service "s".
+func NewFleet(seed uint64) *Fleet {
+	m := &Fleet{
+		timers:  timer.NewVirtual(time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)),
+		rand:    rand.New(rand.NewPCG(seed, 0)),
+		callers: map[netip.AddrPort]*caller{},
+		frozen:  map[netip.AddrPort]bool{},
+	}
+	m.Complete, m.Revision = true, 1
+	m.Routes = []*fleetwire.Route{{
+		Address: Address.String(), Shares: []*fleetwire.Share{{Service: "s", Weight: 1}}, TimeoutMs: 1500, Revision: 1,
+	}}
+	m.Services = []*fleetwire.Application{{Name: "s", Connections: 2000}}
+	m.timers.Every(pollPeriod, func(time.Time) { m.Poll() })
+	m.timers.Every(sweepPeriod, func(time.Time) { m.sweep() })
+	return m
+}
+
+// Address is where callers reach the service of the first route.
+var Address = netip.MustParseAddrPort("198.18.0.1:443")
+
+// Now returns the virtual time.
+func (m *Fleet) Now() time.Time { return m.timers.Now() }
+
+// Run lets time pass.
+func (m *Fleet) Run(d time.Duration) { m.timers.Advance(d) }
+
+func (m *Fleet) after(d time.Duration, fn func()) { m.timers.After(d, func(time.Time) { fn() }) }
+
+func (m *Fleet) fail(format string, args ...any) {
+	m.faults = append(m.faults, fmt.Sprintf(format, args...))
+}
+
+// Faults returns what must never happen and did.
+func (m *Fleet) Faults() []string { return m.faults }
+
+// AddHost adds an instance with a target that has just started.
+func (m *Fleet) AddHost(zone mangokeel.AvailabilityZone, cfg TargetConfig) *Host {
+	m.next++
+	h := &Host{
+		Zone: zone, Agent: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, byte(m.next >> 8), byte(m.next)}), 7000),
+		fleet: m, number: m.next << 16,
+	}
+	m.Hosts = append(m.Hosts, h)
+	h.StartTarget(cfg)
+	h.StartAgent()
+	m.timers.Every(reportPeriod, func(time.Time) { h.Report() })
+	return h
+}
+
+// StartTarget starts a new incarnation of the target.
+func (h *Host) StartTarget(cfg TargetConfig) {
+	if h.Target != nil {
+		h.Target.ended = true
+	}
+	h.Target = &Target{
+		fleet: h.fleet, host: h, cfg: cfg, born: h.fleet.Now(), flows: map[mangokeel.Flow]bool{},
+		id: fmt.Sprintf("%s-%d", h.Agent, h.fleet.Now().UnixMilli()),
+	}
+}
+
+// StartAgent starts a new incarnation of the agent, which knows nothing.
+func (h *Host) StartAgent() {
+	h.starts++
+	h.view = &fleet.View{}
+	h.agent = packet.NewAgent(packet.AgentConfig{Address: h.Agent, Zone: h.Zone, Service: h.Target.cfg.Service, Start: h.starts},
+		Codec{}, h.view, hostLink{h.fleet, h}, packet.WithAgentClock(h.fleet.Now))
+	h.Report()
+	h.fleet.poll(h.view)
+}
+
+// StopAgent ends the agent.
+func (h *Host) StopAgent() { h.agent = nil }
+
+// Report makes the target report now.
+func (h *Host) Report() {
+	if h.agent != nil && !h.Target.ended {
+		h.agent.Report(h.Target.report())
+	}
+}
+
+// Remove ends the target, the agent and their registration.
+func (h *Host) Remove() {
+	h.Target.ended = true
+	h.agent = nil
+}
+
+// AddBalancer adds a ready balancer.
+func (m *Fleet) AddBalancer(zone mangokeel.AvailabilityZone) *Balancer {
+	m.next++
+	b := &Balancer{Zone: zone, Ready: true, address: netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 1, byte(m.next >> 8), byte(m.next)}), 7000)}
+	m.Balancers = append(m.Balancers, b)
+	m.Restart(b)
+	return b
+}
+
+// Restart starts a balancer anew, which knows nothing.
+func (m *Fleet) Restart(b *Balancer) {
+	b.view = &fleet.View{}
+	b.balancer = packet.NewBalancer(packet.BalancerConfig{Zone: b.Zone, Hints: b.address}, Codec{}, b.view, balancerLink{m, b},
+		packet.WithBalancerClock(m.Now))
+	m.poll(b.view)
+}
+
+// Freeze stops a node from getting frames, or lets it get them again.
+func (m *Fleet) Freeze(agent netip.AddrPort, frozen bool) { m.frozen[agent] = frozen }
+
+// Poll brings all nodes up to date now.
+func (m *Fleet) Poll() {
+	for _, h := range m.Hosts {
+		if h.agent != nil {
+			m.poll(h.view)
+		}
+	}
+	for _, b := range m.Balancers {
+		m.poll(b.view)
+	}
+}
+
+func (m *Fleet) poll(v *fleet.View) {
+	r := &fleetwire.PollReply{
+		Leading: true, Realm: m.Revision, Whole: true, Routes: m.Routes, Applications: m.Services, Zones: m.Zones,
+		Reign: 1, All: true, Complete: m.Complete,
+	}
+	for _, h := range m.Hosts {
+		// A lease outlasts a short absence of the agent.
+		if h.Target.ended && h.agent == nil {
+			continue
+		}
+		a := &fleetwire.Announcement{
+			Agent: h.Agent.String(), Zone: string(h.Zone), Service: h.Target.cfg.Service, State: fleetwire.State_STATE_READY,
+			Load: &fleetwire.Load{Slots: uint32(h.Target.cfg.Slots)}, Start: 1, Serial: 1,
+		}
+		if h.agent != nil {
+			if x := h.agent.Announcement(); x != nil {
+				a = x
+			}
+		}
+		r.Announcements = append(r.Announcements, a)
+	}
+	v.Apply(r, m.Now())
+}
+
+func (m *Fleet) sweep() {
+	for _, h := range m.Hosts {
+		if h.agent != nil {
+			h.agent.Sweep()
+		}
+	}
+	for _, b := range m.Balancers {
+		b.balancer.Sweep()
+	}
+}
+
+// frame carries a frame between nodes.
+func (m *Fleet) frame(from mangokeel.AvailabilityZone, to netip.AddrPort, b []byte) {
+	if m.frozen[to] || m.rand.Float64() < m.Loss {
+		return
+	}
+	b = append([]byte(nil), b...)
+	for _, h := range m.Hosts {
+		if h.Agent == to {
+			m.after(m.delay(from, h.Zone), func() {
+				if h.agent != nil {
+					h.agent.Frame(b)
+				}
+			})
+			return
+		}
+	}
+	for _, x := range m.Balancers {
+		if x.address == to {
+			m.after(m.delay(from, x.Zone), func() { x.balancer.Hint(b) })
+			return
+		}
+	}
+}
+
+func (m *Fleet) delay(a, b mangokeel.AvailabilityZone) time.Duration {
+	if a == b {
+		return zoneDelay
+	}
+	return awayDelay
+}
+
+type balancerLink struct {
+	m *Fleet
+	b *Balancer
+}
+
+func (l balancerLink) Frame(to netip.AddrPort, b []byte) { l.m.frame(l.b.Zone, to, b) }
+func (l balancerLink) Target([]byte)                     {}
+func (l balancerLink) Caller(_ netip.Addr, b []byte)     { l.m.answer(b, true) }
+
+type hostLink struct {
+	m *Fleet
+	h *Host
+}
+
+func (l hostLink) Frame(to netip.AddrPort, b []byte) { l.m.frame(l.h.Zone, to, b) }
+
+func (l hostLink) Target(b []byte) {
+	b = append([]byte(nil), b...)
+	t := l.h.Target
+	l.m.after(localDelay, func() { t.take(b) })
+}
+
+func (l hostLink) Caller(_ netip.Addr, b []byte) {
+	p, err := Codec{}.Parse(b)
+	l.m.answer(b, err == nil && p.Reset)
+}
