--- /dev/null
+++ b/internal/fleet/cluster_test.go
@@ -0,0 +1,230 @@
+package fleet_test
+
+import (
+	"context"
+	"maps"
+	"math/rand/v2"
+	"net"
+	"net/netip"
+	"path/filepath"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"mangokeel/internal/disk"
+	"mangokeel/internal/fleet"
+	"mangokeel/internal/fleetwire"
+	"mangokeel/internal/jsonrpc"
+	"mangokeel/internal/replica"
+	"mangokeel/internal/timer"
+)
+
+// cluster is control instances over real disks and loopback.
+type cluster struct {
+	c     *qt.C
+	seeds []netip.AddrPort
+	// folders counts the folders that an instance had, so that it can lose one.
+	folders map[netip.AddrPort]int
+	running map[netip.AddrPort]*instance
+	dir     string
+}
+
+type instance struct {
+	node      *replica.Node
+	server    *fleet.Server
+	candidate *fleet.Candidate
+	calls     *jsonrpc.Server
+	remote    *jsonrpc.Client
+}
+
+// newCluster starts the instances of the first start.
+func newCluster(c *qt.C, n int) *cluster {
+	x := &cluster{c: c, folders: map[netip.AddrPort]int{}, running: map[netip.AddrPort]*instance{}, dir: c.TempDir()}
+	for range n {
+		x.seeds = append(x.seeds, freeAddress(c))
+	}
+	for _, a := range x.seeds {
+		x.start(a, true)
+	}
+	c.Cleanup(func() {
+		for a := range x.running {
+			x.stop(a)
+		}
+	})
+	return x
+}
+
+// freeAddress returns a loopback address below the ports of outgoing connections.
+func freeAddress(c *qt.C) netip.AddrPort {
+	const lowest, highest = 10_000, 32_000
+	for range 100 {
+		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(lowest+rand.IntN(highest-lowest)))
+		if l, err := net.Listen("tcp", a.String()); err == nil {
+			c.Assert(l.Close(), qt.IsNil)
+			return a
+		}
+	}
+	c.Fatal("no free port")
+	return netip.AddrPort{}
+}
+
+func (x *cluster) start(a netip.AddrPort, first bool) {
+	x.c.Helper()
+	folder, err := disk.Open(filepath.Join(x.dir, a.String(), string(rune('a'+x.folders[a]))))
+	x.c.Assert(err, qt.IsNil)
+	cfg := replica.Config{Name: a.String(), Address: a}
+	if first {
+		for _, s := range x.seeds {
+			cfg.Members = append(cfg.Members, replica.Member{Name: s.String(), Address: s})
+		}
+	}
+	realm, i := fleet.NewRealm(), &instance{remote: jsonrpc.NewClient()}
+	i.node, err = replica.New(cfg, realm, folder, i.remote, timer.Real{})
+	x.c.Assert(err, qt.IsNil)
+	i.server = fleet.NewServer(realm, i.node, i.remote)
+	methods := i.server.Methods()
+	maps.Copy(methods, i.node.Methods())
+	i.calls, err = jsonrpc.Listen(a, methods)
+	x.c.Assert(err, qt.IsNil)
+	i.candidate = fleet.NewCandidate(i.node, i.remote, timer.Real{}, a, func() []netip.AddrPort { return x.seeds }, log.NewNopLogger())
+	x.running[a] = i
+}
+
+func (x *cluster) stop(a netip.AddrPort) {
+	i := x.running[a]
+	delete(x.running, a)
+	i.candidate.Close()
+	i.server.Close()
+	i.node.Close()
+	i.calls.Close()
+	i.remote.Close()
+}
+
+// wipe makes the next start of an instance find an empty folder.
+func (x *cluster) wipe(a netip.AddrPort) { x.folders[a]++ }
+
+// eventually waits up to 10 s.
+func (x *cluster) eventually(what string, fn func() bool) {
+	x.c.Helper()
+	for end := time.Now().Add(10 * time.Second); time.Now().Before(end); time.Sleep(20 * time.Millisecond) {
+		if fn() {
+			return
+		}
+	}
+	x.c.Fatalf("%s: not within 10 s", what)
+}
+
+// any returns a running instance other than one.
+func (x *cluster) any(but netip.AddrPort) *instance {
+	for a, i := range x.running {
+		if a != but {
+			return i
+		}
+	}
+	return nil
+}
+
+func (x *cluster) install(i *instance, version uint64) {
+	x.c.Helper()
+	x.eventually("configuration accepted", func() bool {
+		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+		defer cancel()
+		_, err := i.server.Install(ctx, &fleetwire.Installation{Version: version, Content: []byte{byte(version)}})
+		return err == nil
+	})
+}
+
+func (x *cluster) read(i *instance) uint64 {
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	version, _, err := i.server.Read(ctx)
+	if err != nil {
+		return 0
+	}
+	return version
+}
+
+func (x *cluster) voters() (n int) {
+	for _, m := range x.any(netip.AddrPort{}).node.Members() {
+		if m.Voter {
+			n++
+		}
+	}
+	return n
+}
+
+// Guards against a deployment that needs an operator to name control's members: instances
+// that the settings do not name join by themselves, one that lost its disk comes back as a
+// new one, and no accepted configuration is lost when a second disk goes after the repair.
+func TestMembershipWithoutAnOperator(t *testing.T) {
+	c := qt.New(t)
+	x := newCluster(c, 3)
+	x.install(x.any(netip.AddrPort{}), 1)
+	fourth := freeAddress(c)
+	x.start(fourth, false)
+	x.eventually("fourth voter", func() bool { return x.voters() == 4 })
+
+	// The fourth leaves for good.
+	x.stop(fourth)
+	x.eventually("removal", func() bool { return x.voters() == 3 })
+
+	for n, lost := range []netip.AddrPort{x.seeds[0], x.seeds[1]} {
+		version := uint64(10 + n)
+		x.install(x.any(lost), version)
+		x.stop(lost)
+		x.wipe(lost)
+		x.start(lost, false)
+		x.eventually("replacement", func() bool { return x.running[lost].node.Status().Voter })
+		x.eventually("read at the new instance", func() bool { return x.read(x.running[lost]) == version })
+	}
+}
+
+// Guards against an instance that answers a read from an old state, and against one that
+// accepts orders without a majority.
+func TestNoMajorityNoAnswer(t *testing.T) {
+	c := qt.New(t)
+	x := newCluster(c, 3)
+	x.install(x.any(netip.AddrPort{}), 1)
+	x.stop(x.seeds[0])
+	x.stop(x.seeds[1])
+	alone := x.running[x.seeds[2]]
+	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
+	defer cancel()
+	_, err := alone.server.Install(ctx, &fleetwire.Installation{Version: 2})
+	c.Assert(err, qt.ErrorIs, fleet.ErrUnsure)
+	ctx, cancel = context.WithTimeout(context.Background(), 500*time.Millisecond)
+	defer cancel()
+	_, _, err = alone.server.Read(ctx)
+	c.Assert(err, qt.ErrorIs, fleet.ErrUnsure)
+	x.start(x.seeds[0], false)
+	x.eventually("read with a majority", func() bool { return x.read(alone) >= 1 })
+}
+
+// Guards against nodes that stay with an instance that leads no longer, and against nodes
+// that go back.
+func TestNodesFollowTheLeader(t *testing.T) {
+	c := qt.New(t)
+	x := newCluster(c, 3)
+	x.install(x.any(netip.AddrPort{}), 1)
+	v := &fleet.View{}
+	remote := jsonrpc.NewClient()
+	defer remote.Close()
+	f := fleet.NewFollower(v, remote, "n", func() []netip.AddrPort { return x.seeds })
+	defer f.Close()
+	x.eventually("first state", func() bool { return v.State().Revision > 0 })
+	var leader netip.AddrPort
+	x.eventually("leader", func() bool {
+		for a, i := range x.running {
+			if i.node.Status().Leading {
+				leader = a
+			}
+		}
+		return leader.IsValid()
+	})
+	before := v.State().Revision
+	x.stop(leader)
+	x.install(x.any(leader), 2)
+	x.eventually("next state", func() bool { return v.State().Revision > before })
+}
--- /dev/null
+++ b/internal/fleet/enlist_test.go
@@ -0,0 +1,124 @@
+package fleet
+
+import (
+	"context"
+	"fmt"
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+
+	"mangokeel"
+	"mangokeel/internal/fleetwire"
+	"mangokeel/internal/replica"
+	"mangokeel/internal/timer"
+)
+
+// fixedLog is a log whose membership a test sets.
+type fixedLog struct {
+	members []replica.Member
+	silent  map[string]time.Duration
+}
+
+func (*fixedLog) Propose(context.Context, []byte) ([]byte, mangokeel.Revision, error) {
+	return nil, 0, mangokeel.ErrNotLeader
+}
+func (*fixedLog) Status() mangokeel.LogStatus                           { return mangokeel.LogStatus{} }
+func (l *fixedLog) Members() []replica.Member                           { return l.members }
+func (*fixedLog) Admit(context.Context, netip.AddrPort) error           { return nil }
+func (*fixedLog) Replace(context.Context, string, netip.AddrPort) error { return nil }
+func (*fixedLog) Remove(context.Context, string) error                  { return nil }
+func (l *fixedLog) Silent(id string) time.Duration                      { return l.silent[id] }
+func addr(n int) netip.AddrPort {
+	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7000)
+}
+func voter(n int) replica.Member {
+	return replica.Member{ID: fmt.Sprint("id", n), Address: addr(n), Voter: true}
+}
+
+// Guards against membership changes that cost a quorum: a voter that is only slow or
+// restarting must stay, unless another takes its place or enough others remain.
+func TestMembershipSteps(t *testing.T) {
+	dead := silence + time.Second
+	for _, x := range []struct {
+		name    string
+		members []replica.Member
+		silent  map[string]time.Duration
+		asking  map[int]string
+		want    step
+	}{
+		{"all well", []replica.Member{voter(1), voter(2), voter(3)}, nil, nil, step{}},
+		{"one of three silent", []replica.Member{voter(1), voter(2), voter(3)}, map[string]time.Duration{"id2": dead}, nil, step{}},
+		{
+			"a new one takes the silent one's place",
+			[]replica.Member{voter(1), voter(2), voter(3)},
+			map[string]time.Duration{"id2": dead},
+			map[int]string{9: "id9"},
+			step{replace, "id2", addr(9)},
+		},
+		{
+			"a short silence is none",
+			[]replica.Member{voter(1), voter(2), voter(3)},
+			map[string]time.Duration{"id2": silence / 2},
+			map[int]string{9: "id9"},
+			step{admit, "", addr(9)},
+		},
+		{
+			"the same address without its disk",
+			[]replica.Member{voter(1), voter(2), voter(3)},
+			nil,
+			map[int]string{2: "other"},
+			step{replace, "id2", addr(2)},
+		},
+		{
+			"a fourth voter that left is removed",
+			[]replica.Member{voter(1), voter(2), voter(3), voter(4)},
+			map[string]time.Duration{"id4": dead},
+			nil,
+			step{remove, "id4", netip.AddrPort{}},
+		},
+		{
+			"one change at a time",
+			[]replica.Member{voter(1), voter(2), voter(3), {ID: "id4", Address: addr(4), Joining: true}},
+			map[string]time.Duration{"id2": dead},
+			map[int]string{9: "id9"},
+			step{},
+		},
+		{
+			"a joining one that went silent",
+			[]replica.Member{voter(1), voter(2), voter(3), {ID: "id4", Address: addr(4), Joining: true}},
+			map[string]time.Duration{"id4": dead},
+			nil,
+			step{remove, "id4", netip.AddrPort{}},
+		},
+		{"a member does not join again", []replica.Member{voter(1), voter(2), voter(3)}, nil, map[int]string{2: "id2"}, step{}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			timers := timer.NewVirtual(time.Now())
+			s := NewServer(NewRealm(), &fixedLog{x.members, x.silent}, nil, WithServerTimers(timers), WithLosses(1))
+			defer s.Close()
+			for n, id := range x.asking {
+				_, err := s.enlist(&fleetwire.EnlistRequest{Id: id, Address: addr(n).String()})
+				c.Assert(err, qt.IsNil)
+			}
+			c.Assert(s.decide(x.members), qt.Equals, x.want)
+			timers.Advance(askingLife + time.Millisecond)
+			if want := x.want; want.kind == replace || want.kind == admit {
+				got := s.decide(x.members)
+				c.Assert(got.kind == replace || got.kind == admit, qt.IsFalse, qt.Commentf("a request that has expired counts"))
+			}
+		})
+	}
+}
+
+// Guards against a bad address in a request that ends the instance.
+func TestEnlistBadAddress(t *testing.T) {
+	c := qt.New(t)
+	s := NewServer(NewRealm(), &fixedLog{}, nil, WithServerTimers(timer.NewVirtual(time.Now())), WithServerLogger(log.NewNopLogger()))
+	defer s.Close()
+	_, err := s.enlist(&fleetwire.EnlistRequest{Id: "x", Address: "nowhere"})
+	c.Assert(err, qt.ErrorMatches, `address "nowhere" is not.*`)
+}
--- /dev/null
+++ b/internal/fleet/realm_test.go
@@ -0,0 +1,171 @@
+package fleet
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"google.golang.org/protobuf/proto"
+
+	"mangokeel"
+	"mangokeel/internal/fleetwire"
+)
+
+func route(address string, services ...string) *fleetwire.Route {
+	r := &fleetwire.Route{Address: address, TimeoutMs: 500}
+	for _, s := range services {
+		r.Shares = append(r.Shares, &fleetwire.Share{Service: s, Weight: 1})
+	}
+	return r
+}
+
+func install(version uint64, routes ...*fleetwire.Route) *fleetwire.Decree {
+	return &fleetwire.Decree{Body: &fleetwire.Decree_Install{Install: &fleetwire.Installation{
+		Version: version, Content: []byte{byte(version)}, Routes: routes,
+	}}}
+}
+
+func zone(name string, out bool, after uint64) *fleetwire.Decree {
+	return &fleetwire.Decree{Body: &fleetwire.Decree_Close{Close: &fleetwire.Closure{Zone: name, Out: out, After: after}}}
+}
+
+func apply(c *qt.C, m *Realm, r mangokeel.Revision, d *fleetwire.Decree) *fleetwire.Decided {
+	c.Helper()
+	b, err := pack(d)
+	c.Assert(err, qt.IsNil)
+	out := &fleetwire.Decided{}
+	c.Assert(proto.Unmarshal(m.Apply(r, b), out), qt.IsNil)
+	return out
+}
+
+const (
+	one = "198.18.0.1:443"
+	two = "198.18.0.2:443"
+)
+
+// Guards against an older or equal number, or an order that arrives again, changing the
+// configuration.
+func TestHighestVersionCounts(t *testing.T) {
+	c := qt.New(t)
+	m := NewRealm()
+	c.Assert(apply(c, m, 1, install(7, route(one, "a"))).GetInstalled(), qt.IsTrue)
+	for _, version := range []uint64{7, 3} {
+		d := apply(c, m, 2, install(version, route(one, "b")))
+		c.Assert(d.GetInstalled(), qt.IsFalse)
+		c.Assert(d.GetVersion(), qt.Equals, uint64(7))
+	}
+	version, content := m.Config()
+	c.Assert(version, qt.Equals, uint64(7))
+	c.Assert(content, qt.DeepEquals, []byte{7})
+}
+
+// Guards against nodes that keep dropped routes or miss changes: what a node gets since any
+// revision makes its state that of a node that gets everything.
+func TestSinceAnyRevision(t *testing.T) {
+	c := qt.New(t)
+	m := NewRealm()
+	v := &View{}
+	now := time.Now()
+	steps := []*fleetwire.Decree{
+		install(1, route(one, "a")),
+		install(2, route(one, "a"), route(two, "b")),
+		install(3, route(one, "b"), route(two, "b")),
+		zone("z", true, 0),
+		install(4, route(two, "b")),
+		install(5, route(one, "a"), route(two, "b")),
+		zone("z", false, 10),
+	}
+	for i, d := range steps {
+		apply(c, m, mangokeel.Revision(i+1), d)
+		delta := &fleetwire.PollReply{Complete: true}
+		m.since(v.State().Revision, delta)
+		v.Apply(delta, now)
+		whole := &fleetwire.PollReply{Complete: true}
+		m.since(0, whole)
+		w := &View{}
+		w.Apply(whole, now)
+		c.Assert(v.State().Routes, qt.DeepEquals, w.State().Routes, qt.Commentf("step %d", i))
+		c.Assert(v.State().Out, qt.DeepEquals, w.State().Out)
+		c.Assert(v.State().Revision, qt.Equals, w.State().Revision)
+	}
+}
+
+// Guards against flows that are lost when their route moves to another service: the former
+// service still holds them.
+func TestFormerServices(t *testing.T) {
+	c := qt.New(t)
+	m := NewRealm()
+	apply(c, m, 1, install(1, route(one, "a")))
+	apply(c, m, 2, install(2, route(one, "b")))
+	apply(c, m, 3, install(3, route(one, "c")))
+	out := &fleetwire.PollReply{}
+	m.since(0, out)
+	c.Assert(out.GetRoutes()[0].GetFormer(), qt.DeepEquals, []string{"a", "b"})
+}
+
+// Guards against a view that goes back when an answer arrives late.
+func TestViewNeverGoesBack(t *testing.T) {
+	c := qt.New(t)
+	m := NewRealm()
+	apply(c, m, 1, install(1, route(one, "a")))
+	old := &fleetwire.PollReply{}
+	m.since(0, old)
+	apply(c, m, 2, install(2, route(one, "b")))
+	next := &fleetwire.PollReply{}
+	m.since(0, next)
+	v := &View{}
+	v.Apply(next, time.Now())
+	v.Apply(old, time.Now())
+	c.Assert(v.State().Revision, qt.Equals, uint64(2))
+	for _, r := range v.State().Routes {
+		c.Assert(r.Allows("b"), qt.IsTrue)
+	}
+}
+
+// Guards against an order that was held up at one instance and undoes a later one.
+func TestOvertakenZoneOrder(t *testing.T) {
+	c := qt.New(t)
+	m := NewRealm()
+	apply(c, m, 5, zone("z", true, 4))
+	apply(c, m, 6, zone("z", false, 4)) // arrived before the zone was taken out
+	out := &fleetwire.PollReply{}
+	m.since(0, out)
+	c.Assert(out.GetZones()[0].GetOut(), qt.IsTrue)
+	apply(c, m, 7, zone("z", false, 5))
+	out = &fleetwire.PollReply{}
+	m.since(0, out)
+	c.Assert(out.GetZones()[0].GetOut(), qt.IsFalse)
+}
+
+// Guards against state that a snapshot leaves out, and against instances that differ.
+func TestSnapshotHoldsAll(t *testing.T) {
+	c := qt.New(t)
+	m := NewRealm()
+	apply(c, m, 1, install(1, route(one, "a"), route(two, "a")))
+	apply(c, m, 2, install(2, route(one, "b")))
+	apply(c, m, 3, zone("z", true, 2))
+	b, err := m.Snapshot()
+	c.Assert(err, qt.IsNil)
+	n := NewRealm()
+	c.Assert(n.Restore(3, b), qt.IsNil)
+	again, err := n.Snapshot()
+	c.Assert(err, qt.IsNil)
+	c.Assert(again, qt.DeepEquals, b)
+	c.Assert(n.Restore(3, []byte("no snapshot")), qt.ErrorIs, mangokeel.ErrCorrupt)
+}
+
+// Guards against a route that sends a flow to a service of weight 0, and against shares
+// that do not follow the weights.
+func TestShares(t *testing.T) {
+	c := qt.New(t)
+	r := &Route{Shares: []Share{{"a", 90}, {"b", 10}, {"c", 0}}}
+	count := map[string]int{}
+	const n = 100_000
+	for i := range uint64(n) {
+		count[r.Choose(mix(i))]++
+	}
+	c.Assert(count["a"] > n*88/100 && count["a"] < n*92/100, qt.IsTrue, qt.Commentf("%v", count))
+	c.Assert(count["c"], qt.Equals, 0)
+	c.Assert(r.Allows("c"), qt.IsFalse)
+	c.Assert((&Route{}).Choose(1), qt.Equals, "")
+}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -47,9 +47,9 @@
 	revision uint64
 	records  map[string]*record
 	// removals is in ascending order; those up to dropped are no longer in it.
-	removals  []removal
-	dropped   uint64
-	changed   chan struct{}
+	removals []removal
+	dropped  uint64
+	changed  chan struct{}
 }
 
 func newRegistry() *registry {
--- /dev/null
+++ b/internal/packet/agent_test.go
@@ -0,0 +1,219 @@
+package packet_test
+
+import (
+	"net/netip"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mangokeel"
+	"mangokeel/internal/fleet"
+	"mangokeel/internal/fleetwire"
+	"mangokeel/internal/packet"
+	"mangokeel/standin/model"
+)
+
+var (
+	self   = netip.MustParseAddrPort("10.0.0.1:7000")
+	other  = netip.MustParseAddrPort("10.0.0.2:7000")
+	origin = netip.MustParseAddrPort("10.0.1.1:7000")
+	caller = netip.MustParseAddrPort("100.64.0.7:40001")
+)
+
+// sent is what an agent or balancer sent.
+type sent struct {
+	frames  []netip.AddrPort
+	headers []*fleetwire.Frame
+	target  []mangokeel.Packet
+	resets  []mangokeel.Packet
+}
+
+func (s *sent) Frame(to netip.AddrPort, b []byte) {
+	x := &fleetwire.Frame{}
+	if _, err := fleetwire.Split(b, x); err != nil {
+		panic(err)
+	}
+	s.frames, s.headers = append(s.frames, to), append(s.headers, x)
+}
+
+func (s *sent) Target(b []byte) {
+	p, err := model.Codec{}.Parse(b)
+	if err != nil {
+		panic(err)
+	}
+	s.target = append(s.target, p)
+}
+
+func (s *sent) Caller(_ netip.Addr, b []byte) {
+	p, err := model.Codec{}.Parse(b)
+	if err != nil {
+		panic(err)
+	}
+	if p.Reset {
+		s.resets = append(s.resets, p)
+	}
+}
+
+// node is an agent with a view and a clock of the test.
+type node struct {
+	*sent
+	c     *qt.C
+	agent *packet.Agent
+	view  *fleet.View
+	now   time.Time
+}
+
+func newNode(c *qt.C, reply *fleetwire.PollReply) *node {
+	n := &node{sent: &sent{}, c: c, view: &fleet.View{}, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
+	n.view.Apply(reply, n.now)
+	n.agent = packet.NewAgent(packet.AgentConfig{Address: self, Service: "s"}, model.Codec{}, n.view, n.sent,
+		packet.WithAgentClock(func() time.Time { return n.now }))
+	n.agent.Report(packet.Report{ID: "i", Born: n.now, Service: "s", Slots: 2, Serial: 1})
+	n.now = n.now.Add(2 * fleet.Settling)
+	return n
+}
+
+func (n *node) frame(x *fleetwire.Frame, p mangokeel.Packet) {
+	p.Source, p.Destination = caller, model.Address
+	x.Origin = fleetwire.Address(origin)
+	b, err := fleetwire.Append(nil, x, model.Codec{}.Encode(p))
+	n.c.Assert(err, qt.IsNil)
+	n.agent.Frame(b)
+}
+
+func (n *node) returned(p mangokeel.Packet) {
+	p.Source, p.Destination, p.Returned = caller, model.Address, true
+	n.agent.Target(model.Codec{}.Encode(p))
+}
+
+// reply is a state with one route and the agents self and other.
+func reply(revision uint64, service string) *fleetwire.PollReply {
+	r := &fleetwire.PollReply{
+		Leading: true, Realm: revision, Whole: true, Reign: 1, All: true, Complete: true,
+		Routes: []*fleetwire.Route{{
+			Address: model.Address.String(), TimeoutMs: 500, Revision: revision,
+			Shares: []*fleetwire.Share{{Service: service, Weight: 1}},
+		}},
+	}
+	for _, a := range []netip.AddrPort{self, other} {
+		r.Announcements = append(r.Announcements, &fleetwire.Announcement{
+			Agent: a.String(), Service: "s", State: fleetwire.State_STATE_READY, Start: 1, Serial: 1, Load: &fleetwire.Load{Slots: 2},
+		})
+	}
+	return r
+}
+
+func open(revision uint64) (*fleetwire.Frame, mangokeel.Packet) {
+	return &fleetwire.Frame{Kind: fleetwire.Carry_CARRY_OPEN, Revision: revision, Service: "s"},
+		mangokeel.Packet{Opening: true, Sequence: 9}
+}
+
+// Guards against flows that are opened by an older configuration than the newest that the
+// balancer or the agent has.
+func TestNewerConfigurationDecides(t *testing.T) {
+	for _, x := range []struct {
+		name     string
+		own      string
+		revision uint64
+		want     int
+	}{
+		{"both allow", "s", 5, 1},
+		{"the agent's newer one does not", "x", 4, 0},
+		{"the balancer's newer one does", "x", 6, 1},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			n := newNode(c, reply(5, x.own))
+			n.frame(open(x.revision))
+			c.Assert(n.target, qt.HasLen, x.want)
+		})
+	}
+}
+
+// Guards against resets of flows whose target may live: an agent that may lack others, or
+// a frame that an unsure agent sent on, must not end a flow.
+func TestLostFlowIsResetOnlyWhenSure(t *testing.T) {
+	unsure := reply(5, "s")
+	unsure.Complete = false
+	silent := reply(5, "s")
+	silent.Announcements[1].State = fleetwire.State_STATE_SILENT
+	data := mangokeel.Packet{Sequence: 10, Acknowledged: 77, Size: 5}
+	for _, x := range []struct {
+		name  string
+		reply *fleetwire.PollReply
+		frame *fleetwire.Frame
+		want  int
+	}{
+		{"the last of a sure walk", reply(5, "s"), &fleetwire.Frame{Walk: true, Sure: true}, 1},
+		{"the last of an unsure walk", reply(5, "s"), &fleetwire.Frame{Walk: true}, 0},
+		{"an incomplete view", unsure, &fleetwire.Frame{Walk: true, Sure: true}, 0},
+		{"others to ask", reply(5, "s"), &fleetwire.Frame{}, 0},
+		{"a silent one to ask", silent, &fleetwire.Frame{}, 0},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			n := newNode(c, x.reply)
+			x.frame.Kind, x.frame.Revision = fleetwire.Carry_CARRY_DATA, 5
+			n.frame(x.frame, data)
+			c.Assert(n.target, qt.HasLen, 1, qt.Commentf("the own target is asked first"))
+			n.returned(data)
+			c.Assert(n.resets, qt.HasLen, x.want)
+			if x.want > 0 {
+				c.Assert(n.resets[0].Sequence, qt.Equals, uint32(77))
+			}
+		})
+	}
+}
+
+// Guards against a flow that is refused although another target takes it, and against one
+// that travels for ever.
+func TestReturnedOpeningGoesOn(t *testing.T) {
+	c := qt.New(t)
+	n := newNode(c, reply(5, "s"))
+	n.frame(open(5))
+	c.Assert(n.target, qt.HasLen, 1)
+	n.returned(mangokeel.Packet{Opening: true, Sequence: 9})
+	c.Assert(n.frames, qt.HasLen, 1)
+	c.Assert(n.frames[0], qt.Equals, other)
+	c.Assert(n.headers[0].GetPassed(), qt.HasLen, 1)
+	c.Assert(n.resets, qt.HasLen, 0)
+}
+
+// Guards against an acknowledged departure that a restart of the target under the same id,
+// or a late report, undoes or hides.
+func TestReportsInOrder(t *testing.T) {
+	c := qt.New(t)
+	n := newNode(c, reply(5, "s"))
+	born := n.now
+	c.Assert(n.agent.Report(packet.Report{ID: "i", Born: born, Service: "s", Slots: 2, Serial: 1}), qt.IsTrue)
+	c.Assert(n.agent.Report(packet.Report{ID: "i", Born: born, Service: "s", Slots: 2, Serial: 3, Draining: true}), qt.IsTrue)
+	n.agent.Report(packet.Report{ID: "i", Born: born, Service: "s", Slots: 2, Serial: 2}) // arrives late
+	n.frame(open(5))
+	c.Assert(n.target, qt.HasLen, 0)
+	c.Assert(n.agent.Report(packet.Report{ID: "old", Born: born.Add(-time.Minute), Service: "x", Slots: 2, Serial: 90}), qt.IsFalse)
+	c.Assert(n.agent.Report(packet.Report{ID: "i", Born: born.Add(time.Second), Service: "s", Slots: 2, Serial: 1}), qt.IsTrue)
+	x, p := open(5)
+	p.Sequence = 10
+	n.frame(x, p)
+	c.Assert(n.target, qt.HasLen, 1)
+}
+
+// Guards against malformed frames that end an agent or a balancer.
+func FuzzFrames(f *testing.F) {
+	b, err := fleetwire.Append(nil, &fleetwire.Frame{Kind: fleetwire.Carry_CARRY_OPEN, Service: "s", Passed: [][]byte{{1}}},
+		model.Codec{}.Encode(mangokeel.Packet{Source: caller, Destination: model.Address, Opening: true}))
+	if err != nil {
+		f.Fatal(err)
+	}
+	f.Add(b)
+	f.Add([]byte{0, 0})
+	f.Fuzz(func(t *testing.T, b []byte) {
+		n := newNode(qt.New(t), reply(5, "s"))
+		n.agent.Frame(b)
+		n.agent.Target(b)
+		x := packet.NewBalancer(packet.BalancerConfig{Hints: origin}, model.Codec{}, n.view, n.sent)
+		x.Hint(b)
+		x.Caller(b)
+	})
+}
