--- a/internal/fleet/enlist_test.go
+++ b/internal/fleet/enlist_test.go
@@ -34,6 +34,7 @@
 func addr(n int) netip.AddrPort {
 	return netip.AddrPortFrom(netip.AddrFrom4([4]byte{10, 0, 0, byte(n)}), 7000)
 }
+
 func voter(n int) replica.Member {
 	return replica.Member{ID: fmt.Sprint("id", n), Address: addr(n), Voter: true}
 }
