packet, fleet, mangokeel: a request's story from logs, times and ages as metrics

Cause: a failed request could not be followed from its id to its cause. Tests count lines against metrics.

--- a/internal/fleet/metrics.go
+++ b/internal/fleet/metrics.go
@@ -1,6 +1,10 @@
 package fleet
 
-import "github.com/prometheus/client_golang/prometheus"
+import (
+	"time"
+
+	"github.com/prometheus/client_golang/prometheus"
+)
 
 const namespace = "mangokeel_fleet"
 
@@ -23,6 +27,28 @@
 	}
 }
 
+// Register registers the follower's metrics.
+func (f *Follower) Register(r prometheus.Registerer) error {
+	gauge := func(name, help string, fn func() float64) prometheus.Collector {
+		return prometheus.NewGaugeFunc(prometheus.GaugeOpts{Namespace: namespace, Name: name, Help: help}, fn)
+	}
+	for _, c := range []prometheus.Collector{
+		gauge("revision", "Revision of the configuration in force here.", func() float64 { return float64(f.view.State().Revision) }),
+		gauge("known_targets", "Targets that this node knows.", func() float64 { return float64(len(f.view.State().Agents)) }),
+		gauge("control_age_seconds", "Time since a leader answered; -1 before the first answer.", func() float64 {
+			if t := f.Heard(); !t.IsZero() {
+				return time.Since(t).Seconds()
+			}
+			return -1
+		}),
+	} {
+		if err := r.Register(c); err != nil {
+			return err
+		}
+	}
+	return nil
+}
+
 // Register registers the server's metrics.
 func (s *Server) Register(r prometheus.Registerer) error {
 	for _, c := range []prometheus.Collector{s.metrics.polls, s.metrics.retries, s.metrics.unsure, s.metrics.expired, s.metrics.targets} {
--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -214,6 +214,8 @@
 	a.flows[f] = e
 	a.setBusy(e, true)
 	a.gate.opened(now)
+	a.events.decide(Opened, f, "busy", a.busy, "slots", a.gate.slots, "hops", len(x.GetPassed()), "waited", x.GetWaited(),
+		"revision", x.GetRevision())
 	a.deliver(raw)
 	if len(x.GetPassed()) > 0 {
 		a.tell(e, x, f)
@@ -270,7 +272,7 @@
 		a.toOwner(s, e, x, f, p, raw)
 		return
 	}
-	a.asked(e, p)
+	a.asked(e, f, p, raw)
 	a.deliver(raw)
 	if len(x.GetPassed()) > 0 {
 		a.tell(e, x, f)
@@ -298,9 +300,12 @@
 }
 
 // asked notes what the caller sent.
-func (a *Agent) asked(e *entry, p mangokeel.Packet) {
+func (a *Agent) asked(e *entry, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
 	e.acknowledged = p.Acknowledged
 	if p.Size > 0 && !e.closed {
+		if !e.busy || !e.requested {
+			a.events.decide(Asked, f, "request", lazyRequest{a.codec, raw}, "busy", a.busy, "slots", a.gate.slots)
+		}
 		e.requested = true
 		a.setBusy(e, true)
 	}
@@ -315,7 +320,7 @@
 func (a *Agent) unknown(s *fleet.State, x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
 	now := a.now()
 	if t, ok := a.lost[f]; ok && now.Sub(t) < lostLife {
-		a.events.count(Lost)
+		a.events.count(Dropped)
 		return
 	}
 	route := s.Routes[f.Address]
@@ -323,7 +328,7 @@
 		x.Walk = true
 		a.walk(s, route, x, f)
 	}
-	a.events.count(Walked)
+	a.events.decide(Walked, f, "request", lazyRequest{a.codec, raw}, "known", a.gate.known, "left", len(x.GetNext()), "sure", x.GetSure())
 	if a.mayHold(route) {
 		a.offers[f] = offer{x, now}
 		a.deliver(raw)
@@ -381,7 +386,7 @@
 // walkOn passes a packet of an unknown flow to the next agent.
 func (a *Agent) walkOn(x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
 	if len(x.GetNext()) == 0 {
-		a.lose(x, f, p)
+		a.lose(x, f, p, raw)
 		return
 	}
 	to := fleetwire.ParseAddress(x.GetNext()[0])
@@ -394,19 +399,24 @@
 
 // lose gives up a flow that no agent holds. If all were asked, its target has ended, and a
 // reset frees the caller.
-func (a *Agent) lose(x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet) {
+func (a *Agent) lose(x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
 	now, s := a.now(), a.view.State()
 	a.lost[f] = now
 	if p.Reset {
-		a.events.count(Lost)
+		a.events.count(Dropped)
 		return
 	}
-	sure := x.GetSure() && s.Complete && s.Settled(now)
-	a.events.decide(Lost, f, "reset", sure, "complete", s.Complete, "revision", s.Revision, "bytes", p.Size)
-	if sure {
-		a.events.count(Ended)
-		a.link.Caller(f.Caller.Addr(), a.codec.Reset(p))
+	why := []any{
+		"reason", "no agent holds the flow", "sure", x.GetSure(), "complete", s.Complete, "revision", s.Revision,
+		"bytes", p.Size, "request",
+		lazyRequest{a.codec, raw},
+	}
+	if !x.GetSure() || !s.Complete || !s.Settled(now) {
+		a.events.decide(Lost, f, why...)
+		return
 	}
+	a.events.decide(Ended, f, why...)
+	a.link.Caller(f.Caller.Addr(), a.codec.Reset(p))
 }
 
 // hint notes who has a flow that this agent placed or was asked for.
@@ -477,7 +487,11 @@
 		a.open++
 	}
 	if p.Size > 0 {
+		if e.busy && e.requested {
+			a.events.answers.Observe(now.Sub(e.asked).Seconds())
+		}
 		a.setBusy(e, false)
+		e.requested = false
 	}
 	if p.Final || p.Reset {
 		a.setBusy(e, false)
--- a/internal/packet/events.go
+++ b/internal/packet/events.go
@@ -10,6 +10,8 @@
 	"mangokeel"
 )
 
+const namespace = "mangokeel_packet"
+
 // Event is a kind of decision about a packet.
 type Event int
 
@@ -21,6 +23,9 @@
 	Delivered
 	Returned
 	Answered
+	// Opened flows were offered to the target, and Asked requests given to it.
+	Opened
+	Asked
 	// Dropped packets have no place to go, and Malformed ones cannot be read.
 	Dropped
 	Malformed
@@ -45,7 +50,7 @@
 // String returns the event's name.
 func (e Event) String() string {
 	return [...]string{
-		"forwarded", "delivered", "returned", "answered", "dropped", "malformed", "bypassed",
+		"forwarded", "delivered", "returned", "answered", "opened", "asked", "dropped", "malformed", "bypassed",
 		"passed", "queued", "refused", "walked", "lost", "ended",
 	}[e]
 }
@@ -80,6 +85,9 @@
 type Events struct {
 	logger   log.Logger
 	counters [events]prometheus.Counter
+	// answers has the times from a request to the first byte of its answer, waits those
+	// of opening packets that waited for a target.
+	answers, waits prometheus.Histogram
 
 	mu     sync.Mutex
 	rate   float64
@@ -110,19 +118,44 @@
 		e.budget[i].tokens = e.rate * lineBurst
 	}
 	vec := prometheus.NewCounterVec(prometheus.CounterOpts{
-		Namespace: "mangokeel_packet", Name: "events_total", Help: "Decisions about packets, by kind.",
+		Namespace: namespace, Name: "events_total", Help: "Decisions about packets, by kind.",
 	}, []string{"event"})
+	e.answers = histogram("answer_seconds", "Time from a request to the first byte of its answer.")
+	e.waits = histogram("wait_seconds", "Time for which opening packets waited for a target.")
 	for i := range e.counters {
 		e.counters[i] = vec.WithLabelValues(Event(i).String())
 	}
 	return e
 }
 
-// Register registers the counters.
+func histogram(name, help string) prometheus.Histogram {
+	return prometheus.NewHistogram(prometheus.HistogramOpts{
+		Namespace: namespace, Name: name, Help: help,
+		// 5 ms to 5 s: the shortest service time to the longest deadline of small requests.
+		Buckets: prometheus.ExponentialBuckets(0.005, 2, 11),
+	})
+}
+
+// Register registers the counters and histograms.
 func (e *Events) Register(r prometheus.Registerer) error {
-	return r.Register(collector{e})
+	for _, c := range []prometheus.Collector{collector{e}, e.answers, e.waits} {
+		if err := r.Register(c); err != nil {
+			return err
+		}
+	}
+	return nil
 }
 
+// lazyRequest is the id of the request in a packet, which is only looked for when a line is
+// written.
+type lazyRequest struct {
+	codec mangokeel.Codec
+	raw   []byte
+}
+
+// String returns the id.
+func (l lazyRequest) String() string { return l.codec.Request(l.raw) }
+
 type collector struct{ e *Events }
 
 // Describe implements prometheus.Collector.
--- /dev/null
+++ b/internal/packet/events_test.go
@@ -0,0 +1,110 @@
+package packet_test
+
+import (
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+	"github.com/go-kit/log"
+	"github.com/prometheus/client_golang/prometheus"
+
+	"mangokeel"
+	"mangokeel/internal/fleet"
+	"mangokeel/internal/fleetwire"
+	"mangokeel/internal/packet"
+	"mangokeel/standin/model"
+)
+
+// lineCounter counts log lines by their message.
+type lineCounter map[string]int
+
+func (l lineCounter) Log(keyvals ...any) error {
+	for i := 0; i+1 < len(keyvals); i += 2 {
+		if keyvals[i] == "msg" {
+			l[keyvals[i+1].(string)]++
+		}
+	}
+	return nil
+}
+
+// counted returns the counters of events.
+func counted(c *qt.C, e *packet.Events) map[string]int {
+	r := prometheus.NewRegistry()
+	c.Assert(e.Register(r), qt.IsNil)
+	list, err := r.Gather()
+	c.Assert(err, qt.IsNil)
+	out := map[string]int{}
+	for _, m := range list {
+		for _, x := range m.GetMetric() {
+			for _, l := range x.GetLabel() {
+				out[l.GetValue()] = int(x.GetCounter().GetValue())
+			}
+		}
+	}
+	return out
+}
+
+// Guards against decisions that refuse, reset, send elsewhere or give up and leave no line.
+func TestDecisionsLeaveLines(t *testing.T) {
+	c := qt.New(t)
+	lines := lineCounter{}
+	events := packet.NewEvents(log.Logger(lines), packet.WithLines(1e9))
+	view, out := &fleet.View{}, &sent{}
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	clock := func() time.Time { return now }
+	view.Apply(reply(5, "s"), now)
+	a := packet.NewAgent(packet.AgentConfig{Address: self, Service: "s"}, model.Codec{}, view, out,
+		packet.WithAgentClock(clock), packet.WithAgentEvents(events))
+	b := packet.NewBalancer(packet.BalancerConfig{Hints: origin}, model.Codec{}, view, out,
+		packet.WithBalancerClock(clock), packet.WithBalancerEvents(events))
+	a.Report(packet.Report{ID: "i", Born: now, Service: "s", Slots: 1, Serial: 1})
+	now = now.Add(time.Second)
+	n := &node{sent: out, c: c, agent: a, view: view}
+	for i := range 60 {
+		x, p := open(5)
+		p.Sequence = uint32(i)
+		n.frame(x, p)
+		if i%3 == 0 {
+			n.returned(p)
+		}
+		n.frame(&fleetwire.Frame{Kind: fleetwire.Carry_CARRY_DATA, Revision: 5, Walk: true, Sure: i%2 == 0}, mangokeel.Packet{Sequence: 1, Size: 1})
+		n.returned(mangokeel.Packet{Sequence: 1, Size: 1})
+		b.Caller(model.Codec{}.Encode(mangokeel.Packet{Source: caller, Destination: caller, Opening: true}))
+		for k := range 3 {
+			b.Caller(model.Codec{}.Encode(mangokeel.Packet{Source: caller, Destination: model.Address, Opening: true, Copy: k}))
+		}
+		now = now.Add(300 * time.Millisecond)
+		a.Sweep()
+	}
+	a.Report(packet.Report{ID: "j", Born: now, Service: "s", Slots: 1, Serial: 1})
+	count := counted(c, events)
+	for _, e := range []packet.Event{packet.Refused, packet.Passed, packet.Lost, packet.Ended, packet.Bypassed, packet.Queued, packet.Walked} {
+		c.Assert(lines[e.String()], qt.Equals, count[e.String()], qt.Commentf("%v", e))
+	}
+	for _, e := range []packet.Event{packet.Refused, packet.Passed, packet.Ended, packet.Bypassed, packet.Walked} {
+		c.Assert(count[e.String()] > 0, qt.IsTrue, qt.Commentf("%v does not occur", e))
+	}
+}
+
+// Guards against lines that fill a disk, and against ordinary lines that displace those of
+// failures.
+func TestLinesAreBounded(t *testing.T) {
+	c := qt.New(t)
+	lines := lineCounter{}
+	view, out := &fleet.View{}, &sent{}
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	view.Apply(reply(5, "s"), now)
+	events := packet.NewEvents(log.Logger(lines), packet.WithLines(10))
+	a := packet.NewAgent(packet.AgentConfig{Address: self, Service: "s"}, model.Codec{}, view, out,
+		packet.WithAgentClock(func() time.Time { return now.Add(time.Hour) }), packet.WithAgentEvents(events))
+	a.Report(packet.Report{ID: "i", Born: now, Service: "s", Slots: 1 << 10, Serial: 1})
+	n := &node{sent: out, c: c, agent: a, view: view}
+	for i := range 500 {
+		x, p := open(5)
+		p.Sequence = uint32(i)
+		n.frame(x, p)
+	}
+	n.frame(&fleetwire.Frame{Kind: fleetwire.Carry_CARRY_OPEN, Revision: 6, Service: ""}, mangokeel.Packet{Opening: true, Sequence: 1000})
+	c.Assert(lines["opened"] >= 10 && lines["opened"] <= 40, qt.IsTrue, qt.Commentf("%v", lines))
+	c.Assert(lines["refused"], qt.Equals, 1)
+}
--- a/internal/packet/queue.go
+++ b/internal/packet/queue.go
@@ -27,6 +27,7 @@
 	packet   mangokeel.Packet
 	raw      []byte
 	priority int
+	since    time.Time
 	until    time.Time
 }
 
@@ -86,8 +87,8 @@
 	if route := a.view.State().Routes[f.Address]; route != nil {
 		d, priority = min(route.Timeout/waitShare, waitMost), route.Priority
 	}
-	a.events.count(Queued)
-	a.queue.add(waiting{x, f, p, slices.Clone(raw), priority, a.now().Add(d)})
+	a.events.decide(Queued, f, "busy", a.busy, "slots", a.gate.slots, "ahead", len(a.queue.list), "at_most", d)
+	a.queue.add(waiting{x, f, p, slices.Clone(raw), priority, a.now(), a.now().Add(d)})
 	return true
 }
 
@@ -99,6 +100,7 @@
 		service, ok := a.choose(s, w.frame, w.flow)
 		if ok && a.admits(s, service) {
 			a.queue.next()
+			a.events.waits.Observe(a.now().Sub(w.since).Seconds())
 			a.accept(w.frame, w.flow, w.packet, w.raw)
 			continue
 		}
--- a/mangokeel.go
+++ b/mangokeel.go
@@ -174,4 +174,7 @@
 	Clean(b []byte)
 	// Reset returns a packet that ends p's flow towards its source.
 	Reset(p Packet) []byte
+	// Request returns the id of the request that begins in a packet's data, for logs only.
+	// It is empty if there is none.
+	Request(b []byte) string
 }
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -32,6 +32,19 @@
 	return fault(c.Port > 0 && c.Port <= maxPort, "cluster.port", "%d is not a port", c.Port)
 }
 
+// DefaultLines bounds a process's log to 0.7 GB a day: two classes of 20 lines a second,
+// of 200 bytes each.
+const DefaultLines = 20
+
+func lineRate(n int) int {
+	if n == 0 {
+		return DefaultLines
+	}
+	return n
+}
+
+func checkLines(n int) *Error { return fault(n >= 0, "lines", "%d is negative", n) }
+
 func checkMemory(mb int) *Error {
 	return fault(mb == 0 || mb >= minMemoryMB, "memory", "%d MB is below %d MB", mb, minMemoryMB)
 }
@@ -49,15 +62,21 @@
 	// Status serves /metrics and /dump.
 	Status netip.AddrPort `yaml:"status"`
 	// Memory is the limit of the process in MB; 0 is no limit.
-	Memory  int     `yaml:"memory"`
+	Memory int `yaml:"memory"`
+	// Lines is how many lines about decisions are logged in a second for ordinary ones,
+	// and as many for failures; 0 means DefaultLines.
+	Lines   int     `yaml:"lines"`
 	Cluster Cluster `yaml:"cluster"`
 }
 
+// LineRate returns Lines with the default applied.
+func (s *PacketBalancer) LineRate() int { return lineRate(s.Lines) }
+
 // Check implements Checker.
 func (s *PacketBalancer) Check() error {
 	return first(
 		needName("name", s.Name), needName("zone", s.Zone), needAddr("data", s.Data), needAddr("hints", s.Hints),
-		needAddr("ready", s.Ready), optionalAddr("status", s.Status), checkMemory(s.Memory), s.Cluster.check(),
+		needAddr("ready", s.Ready), optionalAddr("status", s.Status), checkMemory(s.Memory), checkLines(s.Lines), s.Cluster.check(),
 	)
 }
 
@@ -79,16 +98,21 @@
 	// Status serves /metrics and /dump.
 	Status netip.AddrPort `yaml:"status"`
 	// Memory is the limit of the process in MB; 0 is no limit.
-	Memory  int     `yaml:"memory"`
+	Memory int `yaml:"memory"`
+	// Lines is as in PacketBalancer.
+	Lines   int     `yaml:"lines"`
 	Cluster Cluster `yaml:"cluster"`
 }
 
+// LineRate returns Lines with the default applied.
+func (s *PacketAgent) LineRate() int { return lineRate(s.Lines) }
+
 // Check implements Checker.
 func (s *PacketAgent) Check() error {
 	return first(
 		needName("name", s.Name), needName("zone", s.Zone), needAddr("data", s.Data), needAddr("outbound", s.Outbound),
 		needAddr("target", s.Target), needAddr("reports", s.Reports), optionalAddr("ready", s.Ready),
-		optionalAddr("status", s.Status), checkMemory(s.Memory), s.Cluster.check(),
+		optionalAddr("status", s.Status), checkMemory(s.Memory), checkLines(s.Lines), s.Cluster.check(),
 	)
 }
 
--- a/standin/model/codec.go
+++ b/standin/model/codec.go
@@ -69,6 +69,9 @@
 // Clean implements mangokeel.Codec.
 func (Codec) Clean(b []byte) { b[0] &^= returned }
 
+// Request implements mangokeel.Codec. Packets of the model carry no data.
+func (Codec) Request([]byte) string { return "" }
+
 // Reset implements mangokeel.Codec.
 func (c Codec) Reset(p mangokeel.Packet) []byte {
 	return c.Encode(mangokeel.Packet{Source: p.Destination, Destination: p.Source, Reset: true, Sequence: p.Acknowledged})
