fabric: a balancer that nobody knows stops at once

Change: it closes at once if it never joined. Test: TestStopWithoutControl, which fails without the change.

--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -172,6 +172,12 @@
 // Run returns after Stop, once the balancer has left and closed everything.
 func (b *Balancer) Run() error {
 	<-b.stop
+	if b.follower.ID() == 0 {
+		// Nobody has heard of this balancer, so nothing is moved away from it.
+		b.follower.Close()
+		b.end()
+		return nil
+	}
 	b.leave(false)
 	b.wait(b.grace)
 	b.refuseStreams()
@@ -179,12 +185,17 @@
 	b.follower.Close()
 	b.leave(true)
 	b.wait(b.linger)
+	b.end()
+	return nil
+}
+
+// end closes everything.
+func (b *Balancer) end() {
 	b.retry.Cancel()
 	b.cancel()
 	b.closeEndpoints()
 	b.streams.close()
 	b.data.close()
-	return nil
 }
 
 // Stop makes Run leave. It returns at once.
--- a/internal/fabric/balancer_test.go
+++ b/internal/fabric/balancer_test.go
@@ -391,3 +391,28 @@
 		})
 	}
 }
+
+// noControl answers no call.
+type noControl struct{}
+
+func (noControl) Call(context.Context, netip.AddrPort, string, proto.Message, proto.Message) error {
+	return mangokeel.ErrNotSent
+}
+
+// Guards against a stop that takes longer than a platform waits before it kills, when
+// control never came up and nobody knows of the balancer.
+func TestStopWithoutControl(t *testing.T) {
+	c := qt.New(t)
+	local := netip.MustParseAddrPort("127.0.0.1:0")
+	b, err := fabric.New(settings.Balancer{Data: local, Control: []netip.AddrPort{local}}, noControl{})
+	c.Assert(err, qt.IsNil)
+	ended := make(chan error, 1)
+	go func() { ended <- b.Run() }()
+	b.Stop()
+	select {
+	case err := <-ended:
+		c.Assert(err, qt.IsNil)
+	case <-time.After(3 * time.Second):
+		t.Fatal("balancer did not stop")
+	}
+}
