packet: least expected time; waiting and queueing bounded by the route's target time

Ruled out: a shorter wait alone (60 ms and 30 ms: the targets' own queue is as long). Change: agents estimate their target's service time and tell it; flows go where they are answered first; a target takes a flow if it can answer within a third of the target time, and flows wait a quarter of it.

--- a/internal/fleet/realm.go
+++ b/internal/fleet/realm.go
@@ -99,7 +99,7 @@
 func inherit(x, prev *fleetwire.Route) {
 	if !prev.GetGone() && sameShares(x, prev) {
 		x.Former = prev.GetFormer()
-		if x.GetTimeoutMs() == prev.GetTimeoutMs() && x.GetPriority() == prev.GetPriority() {
+		if x.GetTimeoutMs() == prev.GetTimeoutMs() && x.GetPriority() == prev.GetPriority() && x.GetTargetMs() == prev.GetTargetMs() {
 			x.Revision = prev.GetRevision()
 		}
 		return
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -47,6 +47,8 @@
 	Former []string
 	// Timeout is how long callers wait at most.
 	Timeout time.Duration
+	// Target is the time within which callers want an answer; 0 is no target.
+	Target time.Duration
 	// Priority is the urgency of the requests; 0 is the highest.
 	Priority int
 }
@@ -209,7 +211,8 @@
 			continue
 		}
 		route := &Route{
-			Former: x.GetFormer(), Timeout: time.Duration(x.GetTimeoutMs()) * time.Millisecond, Priority: int(x.GetPriority()),
+			Former: x.GetFormer(), Timeout: time.Duration(x.GetTimeoutMs()) * time.Millisecond,
+			Target: time.Duration(x.GetTargetMs()) * time.Millisecond, Priority: int(x.GetPriority()),
 		}
 		for _, s := range x.GetShares() {
 			route.Shares = append(route.Shares, Share{s.GetService(), s.GetWeight()})
--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -64,6 +64,8 @@
 	// busy is set while the caller awaits an answer, since asked.
 	busy  bool
 	asked time.Time
+	// ahead is the target's work for each slot when the request came, this one included.
+	ahead float64
 	// requested is set once the caller has sent data.
 	requested bool
 	// closed is set after the last packet of the target.
@@ -99,11 +101,12 @@
 	mu    sync.Mutex
 	flows map[mangokeel.Flow]*entry
 	// offers are packets of unknown flows that the target was asked about.
-	offers map[mangokeel.Flow]offer
-	lost   map[mangokeel.Flow]time.Time
-	gate   gate
-	queue  queue
-	loads  map[netip.AddrPort]*estimate
+	offers  map[mangokeel.Flow]offer
+	lost    map[mangokeel.Flow]time.Time
+	gate    gate
+	service service
+	queue   queue
+	loads   map[netip.AddrPort]*estimate
 	// busy and open count the local entries that are busy, and those that are accepted
 	// and not closed.
 	busy, open int
@@ -489,6 +492,7 @@
 	if p.Size > 0 {
 		if e.busy && e.requested {
 			a.events.answers.Observe(now.Sub(e.asked).Seconds())
+			a.service.observe(now.Sub(e.asked), e.ahead)
 		}
 		a.setBusy(e, false)
 		e.requested = false
@@ -547,6 +551,7 @@
 	e.busy = busy
 	if busy {
 		e.asked = a.now()
+		e.ahead = float64(a.busy) / float64(max(1, a.gate.slots))
 	}
 }
 
--- a/internal/packet/fleet_test.go
+++ b/internal/packet/fleet_test.go
@@ -327,3 +327,17 @@
 func zoneOf(i int) mangokeel.AvailabilityZone {
 	return [...]mangokeel.AvailabilityZone{"a", "b", "c"}[i%3]
 }
+
+// Guards against lasting overload in which everyone is served late: what the targets can do
+// must be spent on requests that are answered within their target time. Load pattern: a third
+// more than the capacity for five seconds.
+func TestOverloadServesInTime(t *testing.T) {
+	c := qt.New(t)
+	m := newFleet(15)
+	m.Load(load(1250, 5*time.Second))
+	m.Run(8 * time.Second)
+	check(c, m)
+	s := m.Stats
+	c.Assert(s.InAim >= 2*s.Late, qt.IsTrue, qt.Commentf("%v", s))
+	c.Assert(s.InAim+s.Late >= s.Asked*7/10, qt.IsTrue, qt.Commentf("%v", s))
+}
--- a/internal/packet/gate.go
+++ b/internal/packet/gate.go
@@ -3,6 +3,7 @@
 import (
 	"time"
 
+	"mangokeel"
 	"mangokeel/internal/fleet"
 	"mangokeel/internal/fleetwire"
 )
@@ -130,15 +131,24 @@
 		(!g.silent(now) || now.Sub(g.probed) >= probePeriod)
 }
 
+// full reports whether one more request of a route would be answered too late.
+func (a *Agent) full(route *fleet.Route) bool {
+	slots := a.gate.slots
+	if a.busy < slots {
+		return false
+	}
+	return a.busy >= slots*queueFactor || cost(float64(a.busy), a.service.time(), slots, false, false) > targetOf(route)/finishShare
+}
+
 // admits reports whether the own target may take a new flow of a service now.
-func (a *Agent) admits(s *fleet.State, service string) bool {
+func (a *Agent) admits(s *fleet.State, service string, f mangokeel.Flow) bool {
 	now := a.now()
 	g := &a.gate
 	app := s.Services[service]
 	switch {
 	case !a.mayAdmit(s, service):
 		return false
-	case now.Before(g.fullUntil) || a.busy >= g.slots*queueFactor:
+	case now.Before(g.fullUntil) || a.full(s.Routes[f.Address]):
 		return false
 	case app.Connections > 0 && a.open >= app.Connections:
 		return false
--- a/internal/packet/place.go
+++ b/internal/packet/place.go
@@ -1,6 +1,7 @@
 package packet
 
 import (
+	"math"
 	"net/netip"
 	"time"
 
@@ -13,11 +14,18 @@
 	// estimateLife is how long what an agent said of its load counts: several service
 	// times of small requests.
 	estimateLife = 200 * time.Millisecond
-	// awayCost is what a target in another zone costs more, in work in progress for each
-	// slot: the round trip between zones, 3 ms, is a fifth of a small request's time.
-	awayCost = 0.2
-	// coldCost is what a cold target costs more.
-	coldCost = 1.0
+	// awayCost is what a target in another zone takes longer: a round trip between zones.
+	awayCost = 3 * time.Millisecond
+	// coldFactor is how much longer a cold target takes than its last requests show.
+	coldFactor = 2.0
+	// serviceDefault is the service time of a target that has not answered yet: that of a
+	// small request.
+	serviceDefault = 15 * time.Millisecond
+	// serviceShare is the part of the estimate that a new answer replaces.
+	serviceShare = 0.1
+	// slowFactor is how much slower than others a target is that takes no flow without a
+	// comparison, even with a free slot.
+	slowFactor = 2
 	// answerLimit is how long an agent may leave passed flows unanswered before it counts
 	// as silent: it accepts them within waitMost.
 	answerLimit = waitMost + 50*time.Millisecond
@@ -25,15 +33,19 @@
 	answerLeast = 2
 	// answerRetry is how often a silent agent gets a flow all the same.
 	answerRetry = time.Second
-	// queueFactor is how much work for each slot a target takes before it refuses more:
-	// hosts queue a few requests for each slot.
+	// queueFactor is how much work for each slot a target gets at most: hosts queue a few
+	// requests for each slot.
 	queueFactor = 5
+	// finishShare is the part of a route's target time within which the target must be able
+	// to answer one more request. With waitShare and the way it makes up the whole.
+	finishShare = 3
 )
 
 // estimate is what an agent believes of another agent's load.
 type estimate struct {
-	busy float64
-	at   time.Time
+	busy    float64
+	service time.Duration
+	at      time.Time
 	// placed counts the flows that this agent has sent there since.
 	placed float64
 	// unanswered counts the flows passed to the agent since it last said anything,
@@ -42,6 +54,14 @@
 	waiting, passed time.Time
 }
 
+// time returns the expected service time of the agent's target.
+func (e *estimate) time() time.Duration {
+	if e == nil || e.service == 0 {
+		return serviceDefault
+	}
+	return e.service
+}
+
 // silent reports whether the agent does not answer.
 func (e *estimate) silent(now time.Time) bool {
 	return e != nil && e.unanswered >= answerLeast && now.Sub(e.waiting) > answerLimit && now.Sub(e.passed) < answerRetry
@@ -57,6 +77,28 @@
 	e.passed = now
 }
 
+// service estimates how long a target works on a request. The zero value has no estimate.
+type service struct{ mean float64 }
+
+// observe takes an answer that came d after its request, with that much work for each slot
+// at the time.
+func (s *service) observe(d time.Duration, ahead float64) {
+	sample := float64(d) / max(1, ahead)
+	if s.mean == 0 {
+		s.mean = sample
+		return
+	}
+	s.mean += serviceShare * (sample - s.mean)
+}
+
+// time returns the estimate.
+func (s *service) time() time.Duration {
+	if s.mean == 0 {
+		return serviceDefault
+	}
+	return time.Duration(s.mean)
+}
+
 // value returns the work in progress that is to be expected.
 func (e *estimate) value(now time.Time) float64 {
 	if e == nil {
@@ -68,7 +110,7 @@
 
 // load returns what this agent tells of its target.
 func (a *Agent) load() *fleetwire.Load {
-	return &fleetwire.Load{Busy: uint32(max(0, a.busy) + len(a.queue.list)), Flows: uint32(max(0, a.open)), Slots: uint32(a.gate.slots)}
+	return &fleetwire.Load{Busy: uint32(max(0, a.busy) + len(a.queue.list)), Flows: uint32(max(0, a.open)), Slots: uint32(a.gate.slots), ServiceUs: uint32(min(a.service.mean/float64(time.Microsecond), math.MaxUint32))}
 }
 
 // learn takes over what the sender of a frame says of its load.
@@ -85,7 +127,7 @@
 		from = fleetwire.ParseAddress(passed[len(passed)-1])
 	}
 	if from.IsValid() {
-		a.loads[from] = &estimate{busy: float64(l.GetBusy()), at: a.now()}
+		a.loads[from] = &estimate{busy: float64(l.GetBusy()), service: time.Duration(l.GetServiceUs()) * time.Microsecond, at: a.now()}
 	}
 }
 
@@ -114,8 +156,8 @@
 		a.refuse(x, f, p, "no route")
 		return
 	}
-	own := len(a.queue.list) == 0 && a.admits(s, service)
-	if own && a.busy < a.gate.slots {
+	own := len(a.queue.list) == 0 && a.admits(s, service, f)
+	if own && a.busy < a.gate.slots && !a.slow(s, service) {
 		a.accept(x, f, p, raw)
 		return
 	}
@@ -170,11 +212,11 @@
 func (a *Agent) better(s *fleet.State, x *fleetwire.Frame, f mangokeel.Flow, service string, returned bool) *fleet.Target {
 	now := a.now()
 	var best *fleet.Target
-	var least float64
+	var least time.Duration
 	own := !returned && a.mayAdmit(s, service)
 	zone := mangokeel.AvailabilityZone(x.GetZone())
 	if own {
-		least = a.cost(float64(a.busy+len(a.queue.list)), a.gate.slots, a.cfg.Zone != zone, a.gate.coldNow(now))
+		least = cost(float64(a.busy+len(a.queue.list)), a.service.time(), a.gate.slots, a.cfg.Zone != zone, a.gate.coldNow(now))
 	}
 	a.order = s.Order(a.order[:0], service, zone, hashOf(f))
 	for _, t := range a.order {
@@ -182,7 +224,8 @@
 			a.loads[t.Agent].silent(now) {
 			continue
 		}
-		c := a.cost(a.loads[t.Agent].value(now), t.Slots, t.Zone != zone, t.Cold)
+		e := a.loads[t.Agent]
+		c := cost(e.value(now), e.time(), t.Slots, t.Zone != zone, t.Cold)
 		if best == nil && !own || c < least {
 			best, least = t, c
 		}
@@ -190,15 +233,28 @@
 	return best
 }
 
-func (a *Agent) cost(busy float64, slots int, away, cold bool) float64 {
-	c := busy / float64(max(1, slots))
+// cost is the time until one more request is answered.
+func cost(busy float64, service time.Duration, slots int, away, cold bool) time.Duration {
+	c := float64(service) * max(1, (busy+1)/float64(max(1, slots)))
+	if cold {
+		c *= coldFactor
+	}
 	if away {
-		c += awayCost
+		c += float64(awayCost)
 	}
-	if cold {
-		c += coldCost
+	return time.Duration(c)
+}
+
+// slow reports whether the own target takes much longer for a request than others of its
+// service.
+func (a *Agent) slow(s *fleet.State, service string) bool {
+	least := time.Duration(0)
+	for _, t := range s.Targets[service] {
+		if e := a.loads[t.Agent]; e != nil && e.service > 0 && t.Ready && !s.Out[t.Zone] && (least == 0 || e.service < least) {
+			least = e.service
+		}
 	}
-	return c
+	return least > 0 && a.service.time() > slowFactor*least
 }
 
 // refuse tells the caller that a flow was not opened. A copy of an opening packet is
--- a/internal/packet/queue.go
+++ b/internal/packet/queue.go
@@ -5,17 +5,19 @@
 	"time"
 
 	"mangokeel"
+	"mangokeel/internal/fleet"
 	"mangokeel/internal/fleetwire"
 )
 
 const (
-	// waitShare is the part of a route's timeout for which an opening packet may wait for
-	// its target. The caller needs the rest for the request itself and for a retry.
-	waitShare = 8
+	// waitShare is the part of a route's target time for which an opening packet may wait.
+	// Under lasting overload all wait for so long, and the target's own queue, the request
+	// itself and the way to the caller must fit into the rest.
+	waitShare = 4
 	// waitMost bounds the wait: callers send a copy after 200 ms.
 	waitMost = 150 * time.Millisecond
-	// waitDefault is the wait where the route is not known.
-	waitDefault = 100 * time.Millisecond
+	// targetDefault is the target time of routes that have none.
+	targetDefault = 100 * time.Millisecond
 	// queueLimit is how many opening packets may wait for each slot.
 	queueLimit = 16
 )
@@ -74,6 +76,14 @@
 	return out
 }
 
+// targetOf returns the target time of a route, or of one that is not known.
+func targetOf(route *fleet.Route) time.Duration {
+	if route == nil || route.Target == 0 {
+		return targetDefault
+	}
+	return route.Target
+}
+
 // wait queues an opening packet and reports whether there was room.
 func (a *Agent) wait(x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) bool {
 	if a.queue.has(f) {
@@ -83,10 +93,11 @@
 		return false
 	}
 	x.Waited = true
-	d, priority := waitDefault, 0
+	d, priority := targetOf(nil), 0
 	if route := a.view.State().Routes[f.Address]; route != nil {
-		d, priority = min(route.Timeout/waitShare, waitMost), route.Priority
+		d, priority = targetOf(route), route.Priority
 	}
+	d = min(d/waitShare, waitMost)
 	a.events.decide(Queued, f, "busy", a.busy, "slots", a.gate.slots, "ahead", len(a.queue.list), "at_most", d)
 	a.queue.add(waiting{x, f, p, slices.Clone(raw), priority, a.now(), a.now().Add(d)})
 	return true
@@ -98,7 +109,7 @@
 	for len(a.queue.list) > 0 {
 		w := a.queue.list[0]
 		service, ok := a.choose(s, w.frame, w.flow)
-		if ok && a.admits(s, service) {
+		if ok && a.admits(s, service, w.flow) {
 			a.queue.next()
 			a.events.waits.Observe(a.now().Sub(w.since).Seconds())
 			a.accept(w.frame, w.flow, w.packet, w.raw)
