packet: estimates of service times need answers and expire

Ruled out: the bound by the target time (the small sites recover with it), the configuration. Change: estimates begin at a small request's time, count for 2 s, and a target is slow only if it is twice as slow as half of the others.

--- a/internal/packet/fleet_test.go
+++ b/internal/packet/fleet_test.go
@@ -341,3 +341,34 @@
 	c.Assert(s.InAim >= 2*s.Late, qt.IsTrue, qt.Commentf("%v", s))
 	c.Assert(s.InAim+s.Late >= s.Asked*7/10, qt.IsTrue, qt.Commentf("%v", s))
 }
+
+// Guards against a large fleet that serves late long after an outage. Load pattern: 42 targets
+// at four tenths of their capacity, an outage of two seconds, all callers at once.
+func TestLargeFleetAfterOutage(t *testing.T) {
+	c := qt.New(t)
+	m := model.NewFleet(16)
+	for i := range 42 {
+		m.AddHost(zoneOf(i), target)
+	}
+	for i := range 12 {
+		m.AddBalancer(zoneOf(i))
+	}
+	m.Run(2 * time.Second)
+	m.Load(load(2200, 9*time.Second))
+	m.Run(2 * time.Second)
+	for _, h := range m.Hosts {
+		h.StopAgent()
+	}
+	m.Run(2 * time.Second)
+	for _, h := range m.Hosts {
+		h.StartTarget(target)
+		h.Target.ColdUntil = m.Now().Add(2 * time.Second)
+		h.StartAgent()
+	}
+	m.Run(3 * time.Second)
+	before := m.Stats
+	m.Run(3 * time.Second)
+	after := m.Stats
+	asked, inAim := after.Asked-before.Asked, after.InAim-before.InAim
+	c.Assert(inAim >= asked*95/100, qt.IsTrue, qt.Commentf("%d of %d in aim", inAim, asked))
+}
--- a/internal/packet/place.go
+++ b/internal/packet/place.go
@@ -23,6 +23,10 @@
 	serviceDefault = 15 * time.Millisecond
 	// serviceShare is the part of the estimate that a new answer replaces.
 	serviceShare = 0.1
+	// serviceLife is how long an agent's word on its service time counts.
+	serviceLife = 2 * time.Second
+	// slowLeast is how many others must be known for a comparison.
+	slowLeast = 3
 	// slowFactor is how much slower than others a target is that takes no flow without a
 	// comparison, even with a free slot.
 	slowFactor = 2
@@ -55,13 +59,18 @@
 }
 
 // time returns the expected service time of the agent's target.
-func (e *estimate) time() time.Duration {
-	if e == nil || e.service == 0 {
+func (e *estimate) time(now time.Time) time.Duration {
+	if !e.timed(now) {
 		return serviceDefault
 	}
 	return e.service
 }
 
+// timed reports whether the agent told its service time lately.
+func (e *estimate) timed(now time.Time) bool {
+	return e != nil && e.service > 0 && now.Sub(e.at) < serviceLife
+}
+
 // silent reports whether the agent does not answer.
 func (e *estimate) silent(now time.Time) bool {
 	return e != nil && e.unanswered >= answerLeast && now.Sub(e.waiting) > answerLimit && now.Sub(e.passed) < answerRetry
@@ -83,12 +92,10 @@
 // observe takes an answer that came d after its request, with that much work for each slot
 // at the time.
 func (s *service) observe(d time.Duration, ahead float64) {
-	sample := float64(d) / max(1, ahead)
 	if s.mean == 0 {
-		s.mean = sample
-		return
+		s.mean = float64(serviceDefault) // one answer says little
 	}
-	s.mean += serviceShare * (sample - s.mean)
+	s.mean += serviceShare * (float64(d)/max(1, ahead) - s.mean)
 }
 
 // time returns the estimate.
@@ -225,7 +232,7 @@
 			continue
 		}
 		e := a.loads[t.Agent]
-		c := cost(e.value(now), e.time(), t.Slots, t.Zone != zone, t.Cold)
+		c := cost(e.value(now), e.time(now), t.Slots, t.Zone != zone, t.Cold)
 		if best == nil && !own || c < least {
 			best, least = t, c
 		}
@@ -245,16 +252,26 @@
 	return time.Duration(c)
 }
 
-// slow reports whether the own target takes much longer for a request than others of its
-// service.
+// slow reports whether the own target takes much longer for a request than half of the
+// others of its service.
 func (a *Agent) slow(s *fleet.State, service string) bool {
-	least := time.Duration(0)
+	own := a.service.time()
+	if own <= slowFactor*serviceDefault {
+		return false // not worth a comparison
+	}
+	now := a.now()
+	known, faster := 0, 0
 	for _, t := range s.Targets[service] {
-		if e := a.loads[t.Agent]; e != nil && e.service > 0 && t.Ready && !s.Out[t.Zone] && (least == 0 || e.service < least) {
-			least = e.service
+		e := a.loads[t.Agent]
+		if !t.Ready || s.Out[t.Zone] || !e.timed(now) {
+			continue
+		}
+		known++
+		if slowFactor*e.service < own {
+			faster++
 		}
 	}
-	return least > 0 && a.service.time() > slowFactor*least
+	return known >= slowLeast && 2*faster > known
 }
 
 // refuse tells the caller that a flow was not opened. A copy of an opening packet is
