--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -52,7 +52,8 @@
 	again bool
 
 	// The following are used by the polling goroutine only.
-	leader          netip.AddrPort
+	// leader has said itself that it leads; named is whom another instance named.
+	leader, named   netip.AddrPort
 	known           []netip.AddrPort
 	next            int
 	reign, registry uint64
@@ -208,6 +209,10 @@
 	if f.leader.IsValid() {
 		return f.leader
 	}
+	if a := f.named; a.IsValid() {
+		f.named = netip.AddrPort{}
+		return a
+	}
 	list := slices.Concat(f.seeds(), f.known)
 	if len(list) == 0 {
 		return netip.AddrPort{}
@@ -236,15 +241,16 @@
 
 func (f *Follower) redirected(addr netip.AddrPort, out *fleetwire.PollReply) {
 	f.learn(out)
-	leader, err := netip.ParseAddrPort(out.GetLeader())
-	if err != nil || leader == addr {
-		f.leader = netip.AddrPort{}
+	f.leader = netip.AddrPort{}
+	named, err := netip.ParseAddrPort(out.GetLeader())
+	if err != nil || named == addr {
 		f.rest()
 		return
 	}
-	f.leader = leader
+	// The one that is named may have frozen, so it is asked before it is relied on.
+	f.named = named
 	if f.connected {
-		f.rest() // an instance that just lost the leadership may name itself for a moment
+		f.rest()
 	}
 }
 
--- a/internal/fleet/follower_test.go
+++ b/internal/fleet/follower_test.go
@@ -86,3 +86,41 @@
 	c.Assert(proto.Equal(in, out), qt.IsTrue)
 	c.Assert(unpack([]byte("nothing"), out), qt.IsNotNil)
 }
+
+// frozenLeader is two instances: one that does not answer, and one that names it as the
+// leader until it leads itself.
+type frozenLeader struct{ from time.Time }
+
+var frozen = netip.MustParseAddrPort("10.0.0.2:7000")
+
+func (l frozenLeader) Call(ctx context.Context, addr netip.AddrPort, _ string, req, resp proto.Message) error {
+	if addr == frozen {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	out := &fleetwire.PollReply{Leader: frozen.String()}
+	if time.Now().After(l.from) {
+		out = &fleetwire.PollReply{Leading: true}
+		if !req.(*fleetwire.PollRequest).GetSearch() {
+			out.Realm, out.Whole = 1, true
+		}
+	}
+	proto.Merge(resp, out)
+	return nil
+}
+
+// Guards against a node that relies on a frozen leader which another instance names: agents
+// were without control for 3.4 s, the new leader took its registry for complete without them,
+// and their flows were reset elsewhere (sieste-hq scale-2 at 5.9 s).
+func TestNamedLeaderIsAsked(t *testing.T) {
+	c := qt.New(t)
+	began := time.Now()
+	const election = 300 * time.Millisecond
+	v := &View{}
+	f := NewFollower(v, frozenLeader{began.Add(election)}, "n", func() []netip.AddrPort { return []netip.AddrPort{instance} })
+	defer f.Close()
+	for v.State().Revision == 0 && time.Since(began) < wholeTimeout {
+		time.Sleep(10 * time.Millisecond)
+	}
+	c.Assert(time.Since(began) < election+3*searchTimeout, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
+}
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -17,9 +17,9 @@
 	// forgotten is how long a silent agent's target may still hold flows that its agent
 	// serves: cuts between nodes and control last for seconds.
 	forgotten = 15 * time.Second
-	// gathering is how long a new leader's registry may lack live agents: an agent
-	// notices the loss within callTimeout and needs one more call to find the leader.
-	gathering = 2500 * time.Millisecond
+	// gathering is how long a new leader's registry may lack live agents: as long as an
+	// agent may be silent, and one slow fetch of the whole state.
+	gathering = lease + wholeTimeout
 	// removalLimit bounds the removals that are remembered. A node that missed more
 	// gets the whole registry.
 	removalLimit = 1024
