--- a/internal/control/trio_test.go
+++ b/internal/control/trio_test.go
@@ -6,8 +6,6 @@
 	"encoding/hex"
 	"fmt"
 	"maps"
-	"math/rand/v2"
-	"net"
 	"net/netip"
 	"path/filepath"
 	"sync/atomic"
@@ -22,6 +20,7 @@
 	"mangokeel/internal/control"
 	"mangokeel/internal/disk"
 	"mangokeel/internal/jsonrpc"
+	"mangokeel/internal/loopback"
 	"mangokeel/internal/replica"
 	"mangokeel/internal/roster"
 	"mangokeel/internal/timer"
@@ -49,28 +48,10 @@
 	machine *roster.Machine
 }
 
-// freeAddress returns a loopback address that nobody listens on. Its port is below those
-// that the system gives to outgoing connections: an instance that is started (again) at a
-// port from that range may find it taken by a call of another instance.
-func freeAddress(c *qt.C) netip.AddrPort {
-	const lowest, highest = 10_000, 32_000
-	for range 100 {
-		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(lowest+rand.IntN(highest-lowest)))
-		l, err := net.Listen("tcp", a.String())
-		if err != nil {
-			continue
-		}
-		c.Assert(l.Close(), qt.IsNil)
-		return a
-	}
-	c.Fatal("no free port")
-	return netip.AddrPort{}
-}
-
 func newTrio(c *qt.C) *trio {
 	x := &trio{c: c, dir: c.TempDir(), running: make([]*running, 3), client: jsonrpc.NewClient()}
 	for i := range 3 {
-		x.addrs = append(x.addrs, freeAddress(c))
+		x.addrs = append(x.addrs, loopback.Free(c))
 		x.members = append(x.members, replica.Member{Name: fmt.Sprint("control-", i), Address: x.addrs[i]})
 	}
 	for i := range 3 {
--- a/internal/fleet/cluster_test.go
+++ b/internal/fleet/cluster_test.go
@@ -3,8 +3,6 @@
 import (
 	"context"
 	"maps"
-	"math/rand/v2"
-	"net"
 	"net/netip"
 	"path/filepath"
 	"testing"
@@ -17,6 +15,7 @@
 	"mangokeel/internal/fleet"
 	"mangokeel/internal/fleetwire"
 	"mangokeel/internal/jsonrpc"
+	"mangokeel/internal/loopback"
 	"mangokeel/internal/replica"
 	"mangokeel/internal/timer"
 )
@@ -32,18 +31,18 @@
 }
 
 type instance struct {
-	node      *replica.Node
-	server    *fleet.Server
-	candidate *fleet.Candidate
-	calls     *jsonrpc.Server
-	remote    *jsonrpc.Client
+	node   *replica.Node
+	server *fleet.Server
+	joiner *fleet.Joiner
+	calls  *jsonrpc.Server
+	remote *jsonrpc.Client
 }
 
 // newCluster starts the instances of the first start.
 func newCluster(c *qt.C, n int) *cluster {
 	x := &cluster{c: c, folders: map[netip.AddrPort]int{}, running: map[netip.AddrPort]*instance{}, dir: c.TempDir()}
 	for range n {
-		x.seeds = append(x.seeds, freeAddress(c))
+		x.seeds = append(x.seeds, loopback.Free(c))
 	}
 	for _, a := range x.seeds {
 		x.start(a, true)
@@ -56,20 +55,6 @@
 	return x
 }
 
-// freeAddress returns a loopback address below the ports of outgoing connections.
-func freeAddress(c *qt.C) netip.AddrPort {
-	const lowest, highest = 10_000, 32_000
-	for range 100 {
-		a := netip.AddrPortFrom(netip.AddrFrom4([4]byte{127, 0, 0, 1}), uint16(lowest+rand.IntN(highest-lowest)))
-		if l, err := net.Listen("tcp", a.String()); err == nil {
-			c.Assert(l.Close(), qt.IsNil)
-			return a
-		}
-	}
-	c.Fatal("no free port")
-	return netip.AddrPort{}
-}
-
 func (x *cluster) start(a netip.AddrPort, first bool) {
 	x.c.Helper()
 	folder, err := disk.Open(filepath.Join(x.dir, a.String(), string(rune('a'+x.folders[a]))))
@@ -80,22 +65,22 @@
 			cfg.Members = append(cfg.Members, replica.Member{Name: s.String(), Address: s})
 		}
 	}
-	realm, i := fleet.NewRealm(), &instance{remote: jsonrpc.NewClient()}
-	i.node, err = replica.New(cfg, realm, folder, i.remote, timer.Real{})
+	desired, i := fleet.NewDesired(), &instance{remote: jsonrpc.NewClient()}
+	i.node, err = replica.New(cfg, desired, folder, i.remote, timer.Real{})
 	x.c.Assert(err, qt.IsNil)
-	i.server = fleet.NewServer(realm, i.node, i.remote)
+	i.server = fleet.NewServer(desired, i.node, i.remote)
 	methods := i.server.Methods()
 	maps.Copy(methods, i.node.Methods())
 	i.calls, err = jsonrpc.Listen(a, methods)
 	x.c.Assert(err, qt.IsNil)
-	i.candidate = fleet.NewCandidate(i.node, i.remote, timer.Real{}, a, func() []netip.AddrPort { return x.seeds }, log.NewNopLogger())
+	i.joiner = fleet.NewJoiner(i.node, i.remote, timer.Real{}, a, func() []netip.AddrPort { return x.seeds }, log.NewNopLogger())
 	x.running[a] = i
 }
 
 func (x *cluster) stop(a netip.AddrPort) {
 	i := x.running[a]
 	delete(x.running, a)
-	i.candidate.Close()
+	i.joiner.Close()
 	i.server.Close()
 	i.node.Close()
 	i.calls.Close()
@@ -131,7 +116,7 @@
 	x.eventually("configuration accepted", func() bool {
 		ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 		defer cancel()
-		_, err := i.server.Install(ctx, &fleetwire.Installation{Version: version, Content: []byte{byte(version)}})
+		_, err := i.server.Install(ctx, &fleetwire.Configuration{Version: version, Content: []byte{byte(version)}})
 		return err == nil
 	})
 }
@@ -162,7 +147,7 @@
 	c := qt.New(t)
 	x := newCluster(c, 3)
 	x.install(x.any(netip.AddrPort{}), 1)
-	fourth := freeAddress(c)
+	fourth := loopback.Free(c)
 	x.start(fourth, false)
 	x.eventually("fourth voter", func() bool { return x.voters() == 4 })
 
@@ -192,7 +177,7 @@
 	alone := x.running[x.seeds[2]]
 	ctx, cancel := context.WithTimeout(context.Background(), time.Second)
 	defer cancel()
-	_, err := alone.server.Install(ctx, &fleetwire.Installation{Version: 2})
+	_, err := alone.server.Install(ctx, &fleetwire.Configuration{Version: 2})
 	c.Assert(err, qt.ErrorIs, fleet.ErrUnsure)
 	ctx, cancel = context.WithTimeout(context.Background(), 500*time.Millisecond)
 	defer cancel()
--- a/internal/fleet/realm.go
+++ b/internal/fleet/desired.go
@@ -1,15 +1,15 @@
 // Package fleet keeps what the nodes of a deployment must agree on, and what they should
 // know of each other.
 //
-// The realm is decided by the replicated log: the operators' configuration and the zones
+// The desired state is decided by the replicated log: the operators' configuration and the zones
 // that are out of service. The registry is soft state in the leader's memory: the agents
 // that announce a target, each under a lease.
 //
-//	r := fleet.NewRealm()                       // the log's machine, on each control instance
-//	s := fleet.NewServer(r, log, members, ...)  // answers polls, enlists instances
+//	d := fleet.NewDesired()                     // the log's machine, on each control instance
+//	s := fleet.NewServer(d, log, members, ...)  // answers polls, admits instances
 //	f := fleet.NewFollower(remote, seeds, ...)  // on each node: keeps a View current
 //
-// A node's View never goes back to an older revision of the realm.
+// A node's View never goes back to an older revision of the desired state.
 package fleet
 
 import (
@@ -26,36 +26,36 @@
 	"mangokeel/internal/fleetwire"
 )
 
-// Realm is the machine behind the log. It is safe for concurrent use.
-type Realm struct {
+// Desired is the machine behind the log. It is safe for concurrent use.
+type Desired struct {
 	mu sync.Mutex
 	// state.Config.Version never falls. Routes that are gone stay as tombstones.
-	state *fleetwire.Realm
+	state *fleetwire.Desired
 	// changed is closed and replaced with each change.
 	changed chan struct{}
 }
 
-var _ mangokeel.Machine = (*Realm)(nil)
+var _ mangokeel.Machine = (*Desired)(nil)
 
-// NewRealm returns a realm without a configuration.
-func NewRealm() *Realm {
-	return &Realm{state: &fleetwire.Realm{}, changed: make(chan struct{})}
+// NewDesired returns a desired state without a configuration.
+func NewDesired() *Desired {
+	return &Desired{state: &fleetwire.Desired{}, changed: make(chan struct{})}
 }
 
 // Apply implements mangokeel.Machine.
-func (m *Realm) Apply(r mangokeel.Revision, command []byte) []byte {
-	var d fleetwire.Decree
+func (m *Desired) Apply(r mangokeel.Revision, command []byte) []byte {
+	var d fleetwire.Command
 	if err := unpack(command, &d); err != nil {
 		panic(errors.NewAssertionErrorWithWrappedErrf(err, "command at revision %d", r))
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out := &fleetwire.Decided{}
+	out := &fleetwire.Result{}
 	switch x := d.GetBody().(type) {
-	case *fleetwire.Decree_Install:
+	case *fleetwire.Command_Install:
 		out.Installed = m.install(r, x.Install)
-	case *fleetwire.Decree_Close:
-		m.close(r, x.Close)
+	case *fleetwire.Command_Zone:
+		m.setZone(r, x.Zone)
 	}
 	out.Version = m.state.GetConfig().GetVersion()
 	b, err := proto.Marshal(out)
@@ -66,7 +66,7 @@
 }
 
 // install replaces the configuration by a newer one and marks the routes that change.
-func (m *Realm) install(r mangokeel.Revision, next *fleetwire.Installation) bool {
+func (m *Desired) install(r mangokeel.Revision, next *fleetwire.Configuration) bool {
 	if next.GetVersion() <= m.state.GetConfig().GetVersion() {
 		return false
 	}
@@ -118,7 +118,7 @@
 	})
 }
 
-func (m *Realm) close(r mangokeel.Revision, x *fleetwire.Closure) {
+func (m *Desired) setZone(r mangokeel.Revision, x *fleetwire.ZoneChange) {
 	for _, z := range m.state.GetZones() {
 		if z.GetName() != x.GetZone() {
 			continue
@@ -133,22 +133,22 @@
 	m.advance(r)
 }
 
-func (m *Realm) advance(r mangokeel.Revision) {
+func (m *Desired) advance(r mangokeel.Revision) {
 	m.state.Revision = uint64(r)
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
 
 // Snapshot implements mangokeel.Machine.
-func (m *Realm) Snapshot() ([]byte, error) {
+func (m *Desired) Snapshot() ([]byte, error) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return proto.MarshalOptions{Deterministic: true}.Marshal(m.state)
 }
 
 // Restore implements mangokeel.Machine.
-func (m *Realm) Restore(r mangokeel.Revision, snapshot []byte) error {
-	s := &fleetwire.Realm{}
+func (m *Desired) Restore(r mangokeel.Revision, snapshot []byte) error {
+	s := &fleetwire.Desired{}
 	if err := proto.Unmarshal(snapshot, s); err != nil {
 		return errors.Wrapf(mangokeel.ErrCorrupt, "snapshot at %d: %v", r, err)
 	}
@@ -162,26 +162,26 @@
 
 // Config returns the number and content of the configuration. The number is 0 before the
 // first one.
-func (m *Realm) Config() (version uint64, content []byte) {
+func (m *Desired) Config() (version uint64, content []byte) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.state.GetConfig().GetVersion(), m.state.GetConfig().GetContent()
 }
 
 // watch returns the revision and a channel that is closed at the next change.
-func (m *Realm) watch() (uint64, <-chan struct{}) {
+func (m *Desired) watch() (uint64, <-chan struct{}) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	return m.state.GetRevision(), m.changed
 }
 
-// since fills in what changed after a revision. Zones and applications are few and are
+// since fills in what changed after a revision. Zones and services are few and are
 // always sent whole.
-func (m *Realm) since(revision uint64, out *fleetwire.PollReply) {
+func (m *Desired) since(revision uint64, out *fleetwire.PollReply) {
 	m.mu.Lock()
 	defer m.mu.Unlock()
-	out.Realm = m.state.GetRevision()
-	if revision >= out.GetRealm() {
+	out.Desired = m.state.GetRevision()
+	if revision >= out.GetDesired() {
 		return
 	}
 	c := m.state.GetConfig()
@@ -191,7 +191,7 @@
 			out.Routes = append(out.Routes, proto.CloneOf(x))
 		}
 	}
-	out.Applications, out.IdleMs = c.GetApplications(), c.GetIdleMs()
+	out.Services, out.IdleMs = c.GetServices(), c.GetIdleMs()
 	for _, z := range m.state.GetZones() {
 		out.Zones = append(out.Zones, proto.CloneOf(z))
 	}
--- a/internal/fleet/realm_test.go
+++ b/internal/fleet/desired_test.go
@@ -19,21 +19,21 @@
 	return r
 }
 
-func install(version uint64, routes ...*fleetwire.Route) *fleetwire.Decree {
-	return &fleetwire.Decree{Body: &fleetwire.Decree_Install{Install: &fleetwire.Installation{
+func install(version uint64, routes ...*fleetwire.Route) *fleetwire.Command {
+	return &fleetwire.Command{Body: &fleetwire.Command_Install{Install: &fleetwire.Configuration{
 		Version: version, Content: []byte{byte(version)}, Routes: routes,
 	}}}
 }
 
-func zone(name string, out bool, after uint64) *fleetwire.Decree {
-	return &fleetwire.Decree{Body: &fleetwire.Decree_Close{Close: &fleetwire.Closure{Zone: name, Out: out, After: after}}}
+func zone(name string, out bool, after uint64) *fleetwire.Command {
+	return &fleetwire.Command{Body: &fleetwire.Command_Zone{Zone: &fleetwire.ZoneChange{Zone: name, Out: out, After: after}}}
 }
 
-func apply(c *qt.C, m *Realm, r mangokeel.Revision, d *fleetwire.Decree) *fleetwire.Decided {
+func apply(c *qt.C, m *Desired, r mangokeel.Revision, d *fleetwire.Command) *fleetwire.Result {
 	c.Helper()
 	b, err := pack(d)
 	c.Assert(err, qt.IsNil)
-	out := &fleetwire.Decided{}
+	out := &fleetwire.Result{}
 	c.Assert(proto.Unmarshal(m.Apply(r, b), out), qt.IsNil)
 	return out
 }
@@ -47,7 +47,7 @@
 // configuration.
 func TestHighestVersionCounts(t *testing.T) {
 	c := qt.New(t)
-	m := NewRealm()
+	m := NewDesired()
 	c.Assert(apply(c, m, 1, install(7, route(one, "a"))).GetInstalled(), qt.IsTrue)
 	for _, version := range []uint64{7, 3} {
 		d := apply(c, m, 2, install(version, route(one, "b")))
@@ -63,10 +63,10 @@
 // revision makes its state that of a node that gets everything.
 func TestSinceAnyRevision(t *testing.T) {
 	c := qt.New(t)
-	m := NewRealm()
+	m := NewDesired()
 	v := &View{}
 	now := time.Now()
-	steps := []*fleetwire.Decree{
+	steps := []*fleetwire.Command{
 		install(1, route(one, "a")),
 		install(2, route(one, "a"), route(two, "b")),
 		install(3, route(one, "b"), route(two, "b")),
@@ -94,7 +94,7 @@
 // service still holds them.
 func TestFormerServices(t *testing.T) {
 	c := qt.New(t)
-	m := NewRealm()
+	m := NewDesired()
 	apply(c, m, 1, install(1, route(one, "a")))
 	apply(c, m, 2, install(2, route(one, "b")))
 	apply(c, m, 3, install(3, route(one, "c")))
@@ -106,7 +106,7 @@
 // Guards against a view that goes back when an answer arrives late.
 func TestViewNeverGoesBack(t *testing.T) {
 	c := qt.New(t)
-	m := NewRealm()
+	m := NewDesired()
 	apply(c, m, 1, install(1, route(one, "a")))
 	old := &fleetwire.PollReply{}
 	m.since(0, old)
@@ -125,7 +125,7 @@
 // Guards against an order that was held up at one instance and undoes a later one.
 func TestOvertakenZoneOrder(t *testing.T) {
 	c := qt.New(t)
-	m := NewRealm()
+	m := NewDesired()
 	apply(c, m, 5, zone("z", true, 4))
 	apply(c, m, 6, zone("z", false, 4)) // arrived before the zone was taken out
 	out := &fleetwire.PollReply{}
@@ -140,13 +140,13 @@
 // Guards against state that a snapshot leaves out, and against instances that differ.
 func TestSnapshotHoldsAll(t *testing.T) {
 	c := qt.New(t)
-	m := NewRealm()
+	m := NewDesired()
 	apply(c, m, 1, install(1, route(one, "a"), route(two, "a")))
 	apply(c, m, 2, install(2, route(one, "b")))
 	apply(c, m, 3, zone("z", true, 2))
 	b, err := m.Snapshot()
 	c.Assert(err, qt.IsNil)
-	n := NewRealm()
+	n := NewDesired()
 	c.Assert(n.Restore(3, b), qt.IsNil)
 	again, err := n.Snapshot()
 	c.Assert(err, qt.IsNil)
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -45,20 +45,20 @@
 	gone string
 	// heard is when a leader last answered.
 	heard time.Time
-	// hurry ends the poll under way if control may hold it open; again makes the next one
+	// refresh ends the poll under way if control may hold it open; again makes the next one
 	// return at once. A poll that returns at once is never ended, or news that come
 	// faster than polls return would starve them all.
-	hurry context.CancelFunc
-	again bool
+	refresh context.CancelFunc
+	again   bool
 
 	// The following are used by the polling goroutine only.
 	// leader has said itself that it leads; named is whom another instance named.
-	leader, named   netip.AddrPort
-	known           []netip.AddrPort
-	next            int
-	reign, registry uint64
-	complete        bool
-	connected       bool
+	leader, named  netip.AddrPort
+	known          []netip.AddrPort
+	next           int
+	term, registry uint64
+	complete       bool
+	connected      bool
 	// patience is the time-out of the next question for the leader.
 	patience time.Duration
 
@@ -110,14 +110,14 @@
 	<-f.done
 }
 
-// Hurry makes the follower poll at once, because the node's announcement changed or
+// Refresh makes the follower poll at once, because the node's announcement changed or
 // because there is news.
-func (f *Follower) Hurry() {
+func (f *Follower) Refresh() {
 	f.mu.Lock()
 	defer f.mu.Unlock()
 	f.again = true
-	if f.hurry != nil {
-		f.hurry()
+	if f.refresh != nil {
+		f.refresh()
 	}
 }
 
@@ -126,7 +126,7 @@
 	f.mu.Lock()
 	f.gone = agent
 	f.mu.Unlock()
-	f.Hurry()
+	f.Refresh()
 }
 
 // Heard returns when a leader last answered; the zero value if never.
@@ -155,12 +155,12 @@
 	defer cancel()
 	f.mu.Lock()
 	req := &fleetwire.PollRequest{
-		Node: f.node, Realm: f.view.State().Revision, Reign: f.reign, Registry: f.registry,
+		Node: f.node, Desired: f.view.State().Revision, Term: f.term, Registry: f.registry,
 		Wait: f.connected && !f.again, Gone: f.gone,
 	}
-	f.again, f.hurry = false, nil
+	f.again, f.refresh = false, nil
 	if req.GetWait() {
-		f.hurry = cancel
+		f.refresh = cancel
 	}
 	f.mu.Unlock()
 	req.Announcement = f.announce()
@@ -170,11 +170,11 @@
 		err = unpack(out.GetPacked(), &out)
 	}
 	f.mu.Lock()
-	f.hurry = nil
-	hurried := f.again
+	f.refresh = nil
+	refreshed := f.again
 	f.mu.Unlock()
 	switch {
-	case err != nil && hurried && errors.Is(err, context.Canceled):
+	case err != nil && refreshed && errors.Is(err, context.Canceled):
 	case err != nil:
 		f.lost(addr, err)
 	case !out.GetLeading():
@@ -267,14 +267,14 @@
 func (f *Follower) took(addr netip.AddrPort, req *fleetwire.PollRequest, out *fleetwire.PollReply) {
 	f.learn(out)
 	if !f.connected {
-		_ = level.Info(f.logger).Log("msg", "control reached", "at", addr, "revision", out.GetRealm(), "targets", len(out.GetAnnouncements()))
+		_ = level.Info(f.logger).Log("msg", "control reached", "at", addr, "revision", out.GetDesired(), "targets", len(out.GetAnnouncements()))
 	}
 	f.leader, f.connected, f.patience = addr, true, searchTimeout
 	changed := f.view.Apply(out, time.Now())
-	f.reign, f.registry = out.GetReign(), out.GetRegistry()
+	f.term, f.registry = out.GetTerm(), out.GetRegistry()
 	if out.GetComplete() && !f.complete && !out.GetAll() {
 		// Records that an additive list left in place must be compared with the whole.
-		f.reign, f.registry = 0, 0
+		f.term, f.registry = 0, 0
 	}
 	f.complete = out.GetComplete()
 	f.mu.Lock()
--- a/internal/fleet/follower_test.go
+++ b/internal/fleet/follower_test.go
@@ -34,13 +34,13 @@
 		return ctx.Err()
 	}
 	n := s.answers.Add(1)
-	proto.Merge(resp, &fleetwire.PollReply{Leading: true, Realm: uint64(n), Whole: true, Reign: 1, Registry: 1, Complete: true})
+	proto.Merge(resp, &fleetwire.PollReply{Leading: true, Desired: uint64(n), Whole: true, Term: 1, Registry: 1, Complete: true})
 	return nil
 }
 
 // Guards against polls that are ended by news before they return: a node that sees frames
 // of a newer configuration asks for it with each of them. Its lease ended, and the flows of
-// its target were reset (sieste-hq trouble-3, seed 697459231428).
+// its target were reset (docs/incidents.md, 3).
 func TestNewsDoNotStarvePolls(t *testing.T) {
 	c := qt.New(t)
 	control := &slowControl{delay: 5 * time.Millisecond}
@@ -49,7 +49,7 @@
 	defer f.Close()
 	end := time.Now().Add(500 * time.Millisecond)
 	for time.Now().Before(end) {
-		f.Hurry()
+		f.Refresh()
 		time.Sleep(100 * time.Microsecond)
 	}
 	c.Assert(control.answers.Load() >= 10, qt.IsTrue, qt.Commentf("%d answers", control.answers.Load()))
@@ -57,8 +57,8 @@
 }
 
 // Guards against a node that never gets its first state because it takes longer to fetch and
-// decode than the question for the leader may take (cnoc-orders-grown scale-1: restarted
-// balancers with 0.06 of a core and 390 routes had no state for the rest of the day).
+// decode than the question for the leader may take (docs/incidents.md, 5: balancers
+// with 0.06 of a core and 390 routes had no state for the rest of the day).
 func TestSlowFirstState(t *testing.T) {
 	c := qt.New(t)
 	control := &slowControl{delay: 4 * searchTimeout}
@@ -74,7 +74,7 @@
 // Guards against a large state that is lost on its way.
 func TestPackedAnswer(t *testing.T) {
 	c := qt.New(t)
-	in := &fleetwire.PollReply{Leading: true, Realm: 7, Whole: true}
+	in := &fleetwire.PollReply{Leading: true, Desired: 7, Whole: true}
 	for i := range 400 {
 		in.Routes = append(in.Routes, route(netip.AddrPortFrom(instance.Addr(), uint16(i+1)).String(), "s"))
 	}
@@ -102,7 +102,7 @@
 	if time.Now().After(l.from) {
 		out = &fleetwire.PollReply{Leading: true}
 		if !req.(*fleetwire.PollRequest).GetSearch() {
-			out.Realm, out.Whole = 1, true
+			out.Desired, out.Whole = 1, true
 		}
 	}
 	proto.Merge(resp, out)
@@ -111,7 +111,7 @@
 
 // Guards against a node that relies on a frozen leader which another instance names: agents
 // were without control for 3.4 s, the new leader took its registry for complete without them,
-// and their flows were reset elsewhere (sieste-hq scale-2 at 5.9 s).
+// and their flows were reset elsewhere (docs/incidents.md, 7).
 func TestNamedLeaderIsAsked(t *testing.T) {
 	c := qt.New(t)
 	began := time.Now()
--- a/internal/fleet/enlist.go
+++ b/internal/fleet/join.go
@@ -20,24 +20,24 @@
 	// silence is how long a voter may be silent before another may take its place: an
 	// election and a restart fit in it.
 	silence = 2500 * time.Millisecond
-	// enlistPeriod is how often an instance asks to become a voter.
-	enlistPeriod = 300 * time.Millisecond
+	// joinPeriod is how often an instance asks to become a voter.
+	joinPeriod = 300 * time.Millisecond
 	// askingLife is how long a request to become a voter counts.
-	askingLife = 3 * enlistPeriod
+	askingLife = 3 * joinPeriod
 	// changeTimeout bounds the wait for one membership change. The change itself goes on.
 	changeTimeout = time.Second
 	// voterLimit bounds the voters, since each change waits for a majority of them.
 	voterLimit = 9
 )
 
-// enlist notes that an instance wants to become a voter.
-func (s *Server) enlist(r *fleetwire.EnlistRequest) (*fleetwire.EnlistReply, error) {
+// join notes that an instance wants to become a voter.
+func (s *Server) join(r *fleetwire.JoinRequest) (*fleetwire.JoinReply, error) {
 	addr, err := netip.ParseAddrPort(r.GetAddress())
 	if err != nil {
 		return nil, errors.Newf("address %q is not an IP address and port", r.GetAddress())
 	}
 	st := s.log.Status()
-	out := &fleetwire.EnlistReply{Members: s.members()}
+	out := &fleetwire.JoinReply{Members: s.members()}
 	if st.Leader.IsValid() {
 		out.Leader = st.Leader.String()
 	}
@@ -46,7 +46,7 @@
 	}
 	if !out.GetVoter() {
 		s.mu.Lock()
-		s.asking[addr] = enlisting{r.GetId(), s.timers.Now()}
+		s.asking[addr] = joinRequest{r.GetId(), s.timers.Now()}
 		s.mu.Unlock()
 	}
 	return out, nil
@@ -179,9 +179,9 @@
 	return slices.MinFunc(list, func(a, b asker) int { return a.addr.Compare(b.addr) }), true
 }
 
-// Candidate asks other control instances to be enlisted until this one is a voter, and
+// Joiner asks other control instances to be admitted until this one is a voter, and
 // again after it was removed. Close ends it.
-type Candidate struct {
+type Joiner struct {
 	log    Log
 	remote mangokeel.Remote
 	self   netip.AddrPort
@@ -194,10 +194,10 @@
 	sub   mangokeel.Subscription
 }
 
-// NewCandidate starts to ask. seeds returns the instances that the settings name.
-func NewCandidate(l Log, remote mangokeel.Remote, timers mangokeel.Timers, self netip.AddrPort, seeds func() []netip.AddrPort, logger log.Logger) *Candidate {
-	c := &Candidate{log: l, remote: remote, self: self, seeds: seeds, logger: logger, busy: make(chan struct{}, 1)}
-	c.sub = timers.Every(enlistPeriod, func(time.Time) {
+// NewJoiner starts to ask. seeds returns the instances that the settings name.
+func NewJoiner(l Log, remote mangokeel.Remote, timers mangokeel.Timers, self netip.AddrPort, seeds func() []netip.AddrPort, logger log.Logger) *Joiner {
+	c := &Joiner{log: l, remote: remote, self: self, seeds: seeds, logger: logger, busy: make(chan struct{}, 1)}
+	c.sub = timers.Every(joinPeriod, func(time.Time) {
 		select {
 		case c.busy <- struct{}{}:
 		default:
@@ -212,10 +212,10 @@
 }
 
 // Close ends the asking.
-func (c *Candidate) Close() { c.sub.Cancel() }
+func (c *Joiner) Close() { c.sub.Cancel() }
 
 // ask sends one request unless the instance is a voter in a log that has a leader.
-func (c *Candidate) ask() {
+func (c *Joiner) ask() {
 	st := c.log.Status()
 	if st.Voter && st.Leader.IsValid() {
 		return
@@ -229,13 +229,13 @@
 	c.request(list[c.next%len(list)], st.ID)
 }
 
-func (c *Candidate) request(addr netip.AddrPort, id string) {
+func (c *Joiner) request(addr netip.AddrPort, id string) {
 	ctx, cancel := context.WithTimeout(context.Background(), changeTimeout)
 	defer cancel()
-	req := &fleetwire.EnlistRequest{Id: id, Address: c.self.String()}
-	var out fleetwire.EnlistReply
-	if err := callOrDrop(ctx, c.remote, addr, "enlist", req, &out); err != nil {
-		_ = level.Debug(c.logger).Log("msg", "not enlisted", "at", addr, "err", err)
+	req := &fleetwire.JoinRequest{Id: id, Address: c.self.String()}
+	var out fleetwire.JoinReply
+	if err := callOrDrop(ctx, c.remote, addr, "join", req, &out); err != nil {
+		_ = level.Debug(c.logger).Log("msg", "not admitted", "at", addr, "err", err)
 		return
 	}
 	c.known = c.known[:0]
@@ -249,7 +249,7 @@
 		return
 	}
 	// Only the leader decides.
-	if err := callOrDrop(ctx, c.remote, leader, "enlist", req, &out); err != nil {
-		_ = level.Debug(c.logger).Log("msg", "not enlisted", "at", leader, "err", err)
+	if err := callOrDrop(ctx, c.remote, leader, "join", req, &out); err != nil {
+		_ = level.Debug(c.logger).Log("msg", "not admitted", "at", leader, "err", err)
 	}
 }
--- a/internal/fleet/enlist_test.go
+++ b/internal/fleet/join_test.go
@@ -99,10 +99,10 @@
 		t.Run(x.name, func(t *testing.T) {
 			c := qt.New(t)
 			timers := timer.NewVirtual(time.Now())
-			s := NewServer(NewRealm(), &fixedLog{x.members, x.silent}, nil, WithServerTimers(timers), WithLosses(1))
+			s := NewServer(NewDesired(), &fixedLog{x.members, x.silent}, nil, WithServerTimers(timers), WithLosses(1))
 			defer s.Close()
 			for n, id := range x.asking {
-				_, err := s.enlist(&fleetwire.EnlistRequest{Id: id, Address: addr(n).String()})
+				_, err := s.join(&fleetwire.JoinRequest{Id: id, Address: addr(n).String()})
 				c.Assert(err, qt.IsNil)
 			}
 			c.Assert(s.decide(x.members), qt.Equals, x.want)
@@ -116,10 +116,10 @@
 }
 
 // Guards against a bad address in a request that ends the instance.
-func TestEnlistBadAddress(t *testing.T) {
+func TestJoinBadAddress(t *testing.T) {
 	c := qt.New(t)
-	s := NewServer(NewRealm(), &fixedLog{}, nil, WithServerTimers(timer.NewVirtual(time.Now())), WithServerLogger(log.NewNopLogger()))
+	s := NewServer(NewDesired(), &fixedLog{}, nil, WithServerTimers(timer.NewVirtual(time.Now())), WithServerLogger(log.NewNopLogger()))
 	defer s.Close()
-	_, err := s.enlist(&fleetwire.EnlistRequest{Id: "x", Address: "nowhere"})
+	_, err := s.join(&fleetwire.JoinRequest{Id: "x", Address: "nowhere"})
 	c.Assert(err, qt.ErrorMatches, `address "nowhere" is not.*`)
 }
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -41,8 +41,8 @@
 // registry is the leader's list of agents. The zero value is not usable.
 type registry struct {
 	mu sync.Mutex
-	// reign tells registries of different leaderships apart.
-	reign    uint64
+	// term tells registries of different leaderships apart.
+	term     uint64
 	began    time.Time
 	revision uint64
 	records  map[string]*record
@@ -57,13 +57,13 @@
 }
 
 // begin empties the registry for a new leadership.
-func (g *registry) begin(reign uint64, now time.Time) {
+func (g *registry) begin(term uint64, now time.Time) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if g.reign == reign {
+	if g.term == term {
 		return
 	}
-	g.reign, g.began, g.revision = reign, now, 0
+	g.term, g.began, g.revision = term, now, 0
 	g.records, g.removals, g.dropped = map[string]*record{}, nil, 0
 	g.notify()
 }
@@ -138,19 +138,19 @@
 }
 
 // watch returns the state of the registry and a channel that is closed at the next change.
-func (g *registry) watch() (reign, revision uint64, changed <-chan struct{}) {
+func (g *registry) watch() (term, revision uint64, changed <-chan struct{}) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	return g.reign, g.revision, g.changed
+	return g.term, g.revision, g.changed
 }
 
-// since fills in what changed after a revision of a reign.
-func (g *registry) since(reign, revision uint64, now time.Time, out *fleetwire.PollReply) {
+// since fills in what changed after a revision of a term.
+func (g *registry) since(term, revision uint64, now time.Time, out *fleetwire.PollReply) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	out.Reign, out.Registry = g.reign, g.revision
+	out.Term, out.Registry = g.term, g.revision
 	out.Complete = now.Sub(g.began) > gathering
-	out.All = reign != g.reign || revision < g.dropped || revision > g.revision
+	out.All = term != g.term || revision < g.dropped || revision > g.revision
 	if out.GetAll() {
 		revision = 0
 	}
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -20,15 +20,15 @@
 
 // follow keeps a view current as a follower does.
 type follow struct {
-	v               View
-	reign, registry uint64
+	v              View
+	term, registry uint64
 }
 
 func (f *follow) poll(g *registry, now time.Time) {
 	out := &fleetwire.PollReply{}
-	g.since(f.reign, f.registry, now, out)
+	g.since(f.term, f.registry, now, out)
 	f.v.Apply(out, now)
-	f.reign, f.registry = out.GetReign(), out.GetRegistry()
+	f.term, f.registry = out.GetTerm(), out.GetRegistry()
 }
 
 // Guards against nodes that forget live targets when a new leader has not heard of them yet,
@@ -52,7 +52,7 @@
 	c.Assert(f.v.State().Complete, qt.IsFalse)
 
 	now = now.Add(gathering + time.Millisecond)
-	f.reign, f.registry = 0, 0 // as Follower does at the first complete answer
+	f.term, f.registry = 0, 0 // as Follower does at the first complete answer
 	f.poll(g, now)
 	c.Assert(f.v.State().Complete, qt.IsTrue)
 	c.Assert(f.v.State().Agents, qt.HasLen, 1)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -52,7 +52,7 @@
 
 // Server is one control instance's side of the fleet. Close ends it.
 type Server struct {
-	realm    *Realm
+	desired  *Desired
 	log      Log
 	remote   mangokeel.Remote
 	timers   mangokeel.Timers
@@ -64,7 +64,7 @@
 	mu sync.Mutex
 	// asking has the instances that want to become voters, with the time of the last
 	// request.
-	asking map[netip.AddrPort]enlisting
+	asking map[netip.AddrPort]joinRequest
 
 	sweep mangokeel.Subscription
 	stop  chan struct{}
@@ -72,7 +72,7 @@
 	wake  chan struct{}
 }
 
-type enlisting struct {
+type joinRequest struct {
 	id string
 	at time.Time
 }
@@ -90,10 +90,10 @@
 // removed while 2n+1 others remain. The default is 1.
 func WithLosses(n int) ServerOption { return func(s *Server) { s.losses = n } }
 
-// NewServer serves nodes and operators from the realm behind a log.
-func NewServer(realm *Realm, l Log, remote mangokeel.Remote, opts ...ServerOption) *Server {
+// NewServer serves nodes and operators from the desired state behind a log.
+func NewServer(desired *Desired, l Log, remote mangokeel.Remote, opts ...ServerOption) *Server {
 	s := &Server{
-		realm:    realm,
+		desired:  desired,
 		log:      l,
 		remote:   remote,
 		timers:   timer.Real{},
@@ -101,7 +101,7 @@
 		losses:   1,
 		registry: newRegistry(),
 		metrics:  newServerMetrics(),
-		asking:   map[netip.AddrPort]enlisting{},
+		asking:   map[netip.AddrPort]joinRequest{},
 		stop:     make(chan struct{}),
 		wake:     make(chan struct{}, 1),
 	}
@@ -145,16 +145,16 @@
 				return s.poll(ctx, r.(*fleetwire.PollRequest)), nil
 			},
 		},
-		"enlist": {
-			New: func() proto.Message { return &fleetwire.EnlistRequest{} },
+		"join": {
+			New: func() proto.Message { return &fleetwire.JoinRequest{} },
 			Handle: func(_ context.Context, r proto.Message) (proto.Message, error) {
-				return s.enlist(r.(*fleetwire.EnlistRequest))
+				return s.join(r.(*fleetwire.JoinRequest))
 			},
 		},
-		"decree": {
-			New: func() proto.Message { return &fleetwire.DecreeRequest{} },
+		"propose": {
+			New: func() proto.Message { return &fleetwire.ProposeRequest{} },
 			Handle: func(ctx context.Context, r proto.Message) (proto.Message, error) {
-				return s.decree(ctx, r.(*fleetwire.DecreeRequest))
+				return s.proposal(ctx, r.(*fleetwire.ProposeRequest))
 			},
 		},
 	}
@@ -195,8 +195,8 @@
 		s.await(ctx, r)
 	}
 	out := &fleetwire.PollReply{Leading: true, Members: s.members()}
-	s.realm.since(r.GetRealm(), out)
-	s.registry.since(r.GetReign(), r.GetRegistry(), s.timers.Now(), out)
+	s.desired.since(r.GetDesired(), out)
+	s.registry.since(r.GetTerm(), r.GetRegistry(), s.timers.Now(), out)
 	if proto.Size(out) < packAbove {
 		return out
 	}
@@ -227,15 +227,15 @@
 
 // await returns when the node lacks something or the poll was held long enough.
 func (s *Server) await(ctx context.Context, r *fleetwire.PollRequest) {
-	realm, realmChanged := s.realm.watch()
-	reign, registry, registryChanged := s.registry.watch()
-	if realm != r.GetRealm() || reign != r.GetReign() || registry != r.GetRegistry() {
+	desired, desiredChanged := s.desired.watch()
+	term, registry, registryChanged := s.registry.watch()
+	if desired != r.GetDesired() || term != r.GetTerm() || registry != r.GetRegistry() {
 		return
 	}
 	t := time.NewTimer(pollHold)
 	defer t.Stop()
 	select {
-	case <-realmChanged:
+	case <-desiredChanged:
 	case <-registryChanged:
 	case <-t.C:
 	case <-ctx.Done():
@@ -277,14 +277,14 @@
 	if err := s.Confirmed(ctx); err != nil {
 		return 0, nil, err
 	}
-	version, content = s.realm.Config()
+	version, content = s.desired.Config()
 	return version, content, nil
 }
 
 // Install makes a configuration the present one if its number is the highest. It returns
 // the number of the configuration in force. An error leaves the outcome unknown.
-func (s *Server) Install(ctx context.Context, x *fleetwire.Installation) (*fleetwire.Decided, error) {
-	d, err := s.propose(ctx, &fleetwire.Decree{Body: &fleetwire.Decree_Install{Install: x}})
+func (s *Server) Install(ctx context.Context, x *fleetwire.Configuration) (*fleetwire.Result, error) {
+	d, err := s.propose(ctx, &fleetwire.Command{Body: &fleetwire.Command_Install{Install: x}})
 	_ = level.Info(s.logger).Log("msg", "configuration ordered", "version", x.GetVersion(), "routes", len(x.GetRoutes()),
 		"installed", d.GetInstalled(), "present", d.GetVersion(), "err", err)
 	return d, err
@@ -294,15 +294,15 @@
 func (s *Server) SetZone(ctx context.Context, zone mangokeel.AvailabilityZone, out bool) error {
 	err := s.Confirmed(ctx)
 	if err == nil {
-		after, _ := s.realm.watch()
-		_, err = s.propose(ctx, &fleetwire.Decree{Body: &fleetwire.Decree_Close{Close: &fleetwire.Closure{Zone: string(zone), Out: out, After: after}}})
+		after, _ := s.desired.watch()
+		_, err = s.propose(ctx, &fleetwire.Command{Body: &fleetwire.Command_Zone{Zone: &fleetwire.ZoneChange{Zone: string(zone), Out: out, After: after}}})
 	}
 	_ = level.Info(s.logger).Log("msg", "zone ordered", "zone", zone, "out", out, "err", err)
 	return err
 }
 
 // propose gets a command accepted through the leader. Every command may be repeated.
-func (s *Server) propose(ctx context.Context, d *fleetwire.Decree) (*fleetwire.Decided, error) {
+func (s *Server) propose(ctx context.Context, d *fleetwire.Command) (*fleetwire.Result, error) {
 	b, err := pack(d)
 	if err != nil {
 		return nil, err
@@ -310,7 +310,7 @@
 	for {
 		raw, err := s.try(ctx, b)
 		if err == nil {
-			out := &fleetwire.Decided{}
+			out := &fleetwire.Result{}
 			return out, errors.Wrap(proto.Unmarshal(raw, out), "decode result")
 		}
 		s.metrics.retries.Inc()
@@ -333,8 +333,8 @@
 	if !st.Leader.IsValid() {
 		return nil, mangokeel.ErrNotLeader
 	}
-	var out fleetwire.DecreeReply
-	if err := s.call(ctx, st.Leader, "decree", &fleetwire.DecreeRequest{Command: b}, &out); err != nil {
+	var out fleetwire.ProposeReply
+	if err := s.call(ctx, st.Leader, "propose", &fleetwire.ProposeRequest{Command: b}, &out); err != nil {
 		return nil, err
 	}
 	if !out.GetLeading() {
@@ -357,14 +357,14 @@
 	return err
 }
 
-// decree answers other instances.
-func (s *Server) decree(ctx context.Context, r *fleetwire.DecreeRequest) (*fleetwire.DecreeReply, error) {
+// proposal answers other instances.
+func (s *Server) proposal(ctx context.Context, r *fleetwire.ProposeRequest) (*fleetwire.ProposeReply, error) {
 	if !s.log.Status().Leading {
-		return &fleetwire.DecreeReply{}, nil
+		return &fleetwire.ProposeReply{}, nil
 	}
 	raw, rev, err := s.log.Propose(ctx, r.GetCommand())
 	if errors.Is(err, mangokeel.ErrNotLeader) {
-		return &fleetwire.DecreeReply{}, nil
+		return &fleetwire.ProposeReply{}, nil
 	}
-	return &fleetwire.DecreeReply{Leading: true, Result: raw, Revision: uint64(rev)}, err
+	return &fleetwire.ProposeReply{Leading: true, Result: raw, Revision: uint64(rev)}, err
 }
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -79,8 +79,8 @@
 	return ""
 }
 
-// Application is what the configuration says of a service.
-type Application struct {
+// Service is what the configuration says of a service.
+type Service struct {
 	// Connections is the most flows that a target holds; 0 is no limit.
 	Connections int
 	// ColdRate is what a cold target bears in requests a second.
@@ -89,10 +89,10 @@
 
 // State is what a node knows at one moment. It is never changed.
 type State struct {
-	// Revision is that of the realm. It never falls from one State to the next.
+	// Revision is that of the desired state. It never falls from one State to the next.
 	Revision uint64
 	Routes   map[netip.AddrPort]*Route
-	Services map[string]Application
+	Services map[string]Service
 	// Out has the zones out of service; Zones the revision of each zone's last change.
 	Out   map[mangokeel.AvailabilityZone]bool
 	Zones map[mangokeel.AvailabilityZone]uint64
@@ -182,7 +182,7 @@
 	}
 	changed := next.Complete != r.GetComplete()
 	next.Complete = r.GetComplete()
-	changed = v.applyRealm(r, &next) || changed
+	changed = v.applyDesired(r, &next) || changed
 	if v.applyRegistry(r) {
 		v.index(&next)
 		changed = true
@@ -193,8 +193,8 @@
 	return changed
 }
 
-func (v *View) applyRealm(r *fleetwire.PollReply, next *State) bool {
-	if r.GetRealm() <= next.Revision {
+func (v *View) applyDesired(r *fleetwire.PollReply, next *State) bool {
+	if r.GetDesired() <= next.Revision {
 		return false
 	}
 	routes := map[netip.AddrPort]*Route{}
@@ -220,9 +220,9 @@
 		routes[a] = route
 	}
 	next.Routes = routes
-	next.Services = map[string]Application{}
-	for _, x := range r.GetApplications() {
-		next.Services[x.GetName()] = Application{int(x.GetConnections()), x.GetColdRate()}
+	next.Services = map[string]Service{}
+	for _, x := range r.GetServices() {
+		next.Services[x.GetName()] = Service{int(x.GetConnections()), x.GetColdRate()}
 	}
 	next.Out, next.Zones = map[mangokeel.AvailabilityZone]bool{}, map[mangokeel.AvailabilityZone]uint64{}
 	for _, z := range r.GetZones() {
@@ -232,7 +232,7 @@
 		}
 	}
 	next.Idle = time.Duration(r.GetIdleMs()) * time.Millisecond
-	next.Revision = r.GetRealm()
+	next.Revision = r.GetDesired()
 	return true
 }
 
--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -162,7 +162,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.learn(x)
-	if x.GetKind() == fleetwire.Carry_CARRY_HINT {
+	if x.GetKind() == fleetwire.Kind_KIND_HINT {
 		a.hint(x)
 		return
 	}
@@ -173,9 +173,9 @@
 	}
 	f := mangokeel.Flow{Caller: p.Source, Address: p.Destination}
 	switch x.GetKind() {
-	case fleetwire.Carry_CARRY_OPEN:
+	case fleetwire.Kind_KIND_OPEN:
 		a.opening(s, x, f, p, rest)
-	case fleetwire.Carry_CARRY_DATA:
+	case fleetwire.Kind_KIND_DATA:
 		a.data(s, x, f, p, rest)
 	default:
 		a.events.count(Malformed)
@@ -233,7 +233,7 @@
 	}
 	e.hinted = now
 	h := &fleetwire.Frame{
-		Kind: fleetwire.Carry_CARRY_HINT, Origin: a.self, Opened: e.opened, Load: a.load(),
+		Kind: fleetwire.Kind_KIND_HINT, Origin: a.self, Opened: e.opened, Load: a.load(),
 		Revision: a.view.State().Revision, Caller: fleetwire.Address(f.Caller), Address: fleetwire.Address(f.Address),
 	}
 	a.send(fleetwire.ParseAddress(x.GetOrigin()), h, nil)
@@ -533,7 +533,7 @@
 		}
 	}
 	x := &fleetwire.Frame{
-		Kind: fleetwire.Carry_CARRY_DATA, Revision: s.Revision, Zone: string(a.cfg.Zone),
+		Kind: fleetwire.Kind_KIND_DATA, Revision: s.Revision, Zone: string(a.cfg.Zone),
 		Passed: [][]byte{a.self}, Walk: true,
 	}
 	a.walk(s, s.Routes[f.Address], x, f)
--- a/internal/packet/agent_test.go
+++ b/internal/packet/agent_test.go
@@ -90,7 +90,7 @@
 // reply is a state with one route and the agents self and other.
 func reply(revision uint64, service string) *fleetwire.PollReply {
 	r := &fleetwire.PollReply{
-		Leading: true, Realm: revision, Whole: true, Reign: 1, All: true, Complete: true,
+		Leading: true, Desired: revision, Whole: true, Term: 1, All: true, Complete: true,
 		Routes: []*fleetwire.Route{{
 			Address: model.Address.String(), TimeoutMs: 500, Revision: revision,
 			Shares: []*fleetwire.Share{{Service: service, Weight: 1}},
@@ -105,7 +105,7 @@
 }
 
 func open(revision uint64) (*fleetwire.Frame, mangokeel.Packet) {
-	return &fleetwire.Frame{Kind: fleetwire.Carry_CARRY_OPEN, Revision: revision, Service: "s"},
+	return &fleetwire.Frame{Kind: fleetwire.Kind_KIND_OPEN, Revision: revision, Service: "s"},
 		mangokeel.Packet{Opening: true, Sequence: 9}
 }
 
@@ -154,7 +154,7 @@
 		t.Run(x.name, func(t *testing.T) {
 			c := qt.New(t)
 			n := newNode(c, x.reply)
-			x.frame.Kind, x.frame.Revision = fleetwire.Carry_CARRY_DATA, 5
+			x.frame.Kind, x.frame.Revision = fleetwire.Kind_KIND_DATA, 5
 			n.frame(x.frame, data)
 			c.Assert(n.target, qt.HasLen, 1, qt.Commentf("the own target is asked first"))
 			n.returned(data)
@@ -201,7 +201,7 @@
 
 // Guards against malformed frames that end an agent or a balancer.
 func FuzzFrames(f *testing.F) {
-	b, err := fleetwire.Append(nil, &fleetwire.Frame{Kind: fleetwire.Carry_CARRY_OPEN, Service: "s", Passed: [][]byte{{1}}},
+	b, err := fleetwire.Append(nil, &fleetwire.Frame{Kind: fleetwire.Kind_KIND_OPEN, Service: "s", Passed: [][]byte{{1}}},
 		model.Codec{}.Encode(mangokeel.Packet{Source: caller, Destination: model.Address, Opening: true}))
 	if err != nil {
 		f.Fatal(err)
@@ -224,7 +224,7 @@
 func TestOpeningWaitsOnce(t *testing.T) {
 	c := qt.New(t)
 	n := newNode(c, reply(5, "s"))
-	full := &fleetwire.Frame{Kind: fleetwire.Carry_CARRY_OPEN, Revision: 5, Service: "s", Passed: [][]byte{
+	full := &fleetwire.Frame{Kind: fleetwire.Kind_KIND_OPEN, Revision: 5, Service: "s", Passed: [][]byte{
 		fleetwire.Address(other), fleetwire.Address(other), fleetwire.Address(other), fleetwire.Address(other),
 	}}
 	p := mangokeel.Packet{Opening: true, Sequence: 9}
--- a/internal/packet/balancer.go
+++ b/internal/packet/balancer.go
@@ -170,7 +170,7 @@
 		b.hints[f] = hint{to.Agent, now}
 		b.events.decide(Bypassed, f, "first", first.Agent, "to", to.Agent, "copy", p.Copy)
 	}
-	b.send(to.Agent, fleetwire.Carry_CARRY_OPEN, s.Revision, service, raw)
+	b.send(to.Agent, fleetwire.Kind_KIND_OPEN, s.Revision, service, raw)
 }
 
 // heard returns the first target in the order whose agent does not count as silent, or
@@ -218,7 +218,7 @@
 		if s.Agents[x.agent] != nil {
 			x.seen = now
 			b.hints[f] = x
-			b.send(x.agent, fleetwire.Carry_CARRY_DATA, s.Revision, "", raw)
+			b.send(x.agent, fleetwire.Kind_KIND_DATA, s.Revision, "", raw)
 			return
 		}
 		delete(b.hints, f)
@@ -234,10 +234,10 @@
 		b.events.count(Dropped)
 		return
 	}
-	b.send(b.heard(now).Agent, fleetwire.Carry_CARRY_DATA, s.Revision, "", raw)
+	b.send(b.heard(now).Agent, fleetwire.Kind_KIND_DATA, s.Revision, "", raw)
 }
 
-func (b *Balancer) send(to netip.AddrPort, kind fleetwire.Carry, revision uint64, service string, raw []byte) {
+func (b *Balancer) send(to netip.AddrPort, kind fleetwire.Kind, revision uint64, service string, raw []byte) {
 	b.frame.Kind, b.frame.Revision, b.frame.Service = kind, revision, service
 	b.frame.Origin, b.frame.Zone = b.origin, string(b.cfg.Zone)
 	out, err := fleetwire.Append(b.buf[:0], &b.frame, raw)
@@ -253,7 +253,7 @@
 // Hint takes a frame from an agent.
 func (b *Balancer) Hint(raw []byte) {
 	var x fleetwire.Frame
-	if _, err := fleetwire.Split(raw, &x); err != nil || x.GetKind() != fleetwire.Carry_CARRY_HINT {
+	if _, err := fleetwire.Split(raw, &x); err != nil || x.GetKind() != fleetwire.Kind_KIND_HINT {
 		b.events.count(Malformed)
 		return
 	}
--- a/internal/packet/events_test.go
+++ b/internal/packet/events_test.go
@@ -67,7 +67,7 @@
 		if i%3 == 0 {
 			n.returned(p)
 		}
-		n.frame(&fleetwire.Frame{Kind: fleetwire.Carry_CARRY_DATA, Revision: 5, Walk: true, Sure: i%2 == 0}, mangokeel.Packet{Sequence: 1, Size: 1})
+		n.frame(&fleetwire.Frame{Kind: fleetwire.Kind_KIND_DATA, Revision: 5, Walk: true, Sure: i%2 == 0}, mangokeel.Packet{Sequence: 1, Size: 1})
 		n.returned(mangokeel.Packet{Sequence: 1, Size: 1})
 		b.Caller(model.Codec{}.Encode(mangokeel.Packet{Source: caller, Destination: caller, Opening: true}))
 		for k := range 3 {
@@ -104,7 +104,7 @@
 		p.Sequence = uint32(i)
 		n.frame(x, p)
 	}
-	n.frame(&fleetwire.Frame{Kind: fleetwire.Carry_CARRY_OPEN, Revision: 6, Service: ""}, mangokeel.Packet{Opening: true, Sequence: 1000})
+	n.frame(&fleetwire.Frame{Kind: fleetwire.Kind_KIND_OPEN, Revision: 6, Service: ""}, mangokeel.Packet{Opening: true, Sequence: 1000})
 	c.Assert(lines["opened"] >= 10 && lines["opened"] <= 40, qt.IsTrue, qt.Commentf("%v", lines))
 	c.Assert(lines["refused"], qt.Equals, 1)
 }
--- a/internal/packet/place.go
+++ b/internal/packet/place.go
@@ -128,7 +128,7 @@
 	}
 	var from netip.AddrPort
 	switch passed := x.GetPassed(); {
-	case x.GetKind() == fleetwire.Carry_CARRY_HINT:
+	case x.GetKind() == fleetwire.Kind_KIND_HINT:
 		from = fleetwire.ParseAddress(x.GetOrigin())
 	case len(passed) > 0:
 		from = fleetwire.ParseAddress(passed[len(passed)-1])
--- a/internal/packet/place_test.go
+++ b/internal/packet/place_test.go
@@ -9,7 +9,7 @@
 
 // Guards against placement that chases early or stale estimates: a target whose first answer
 // was quick looked much faster than all others, and for ten seconds after an outage flows were
-// passed to it (cnoc-orders-grown, big-recovery: 2,557 of 3,015 in aim at 40 s).
+// passed to it (docs/incidents.md, 6).
 func TestEstimatesNeedAnswers(t *testing.T) {
 	c := qt.New(t)
 	var s service
--- a/standin/model/fleet.go
+++ b/standin/model/fleet.go
@@ -76,7 +76,7 @@
 	Complete bool
 	Revision uint64
 	Routes   []*fleetwire.Route
-	Services []*fleetwire.Application
+	Services []*fleetwire.Service
 	Zones    []*fleetwire.ZoneState
 
 	// Logger gets the decisions of nodes that start later.
@@ -103,7 +103,7 @@
 	m.Routes = []*fleetwire.Route{{
 		Address: Address.String(), Shares: []*fleetwire.Share{{Service: "s", Weight: 1}}, TimeoutMs: 1500, Revision: 1,
 	}}
-	m.Services = []*fleetwire.Application{{Name: "s", Connections: 2000}}
+	m.Services = []*fleetwire.Service{{Name: "s", Connections: 2000}}
 	m.timers.Every(pollPeriod, func(time.Time) { m.Poll() })
 	m.timers.Every(sweepPeriod, func(time.Time) { m.sweep() })
 	return m
@@ -231,8 +231,8 @@
 
 func (m *Fleet) poll(v *fleet.View) {
 	r := &fleetwire.PollReply{
-		Leading: true, Realm: m.Revision, Whole: true, Routes: m.Routes, Applications: m.Services, Zones: m.Zones,
-		Reign: 1, All: true, Complete: m.Complete,
+		Leading: true, Desired: m.Revision, Whole: true, Routes: m.Routes, Services: m.Services, Zones: m.Zones,
+		Term: 1, All: true, Complete: m.Complete,
 	}
 	for _, h := range m.Hosts {
 		// A lease outlasts a short absence of the agent.
