packet: reports of other incarnations

Cause: found on reading: a report that came after a target's departure brought it back, and one of another id with the same start was refused for ever. Test: TestReportsOfOtherIncarnations.

--- a/internal/packet/agent_test.go
+++ b/internal/packet/agent_test.go
@@ -199,6 +199,26 @@
 	c.Assert(n.target, qt.HasLen, 1)
 }
 
+// Guards against a target that is never heard again because its clock went back before it
+// started, and against a late report that undoes a departure.
+func TestReportsOfOtherIncarnations(t *testing.T) {
+	c := qt.New(t)
+	n := newNode(c, reply(5, "s"))
+	earlier := packet.Report{ID: "k", Born: n.now.Add(-time.Hour), Service: "s", Slots: 2, Serial: 1}
+	n.agent.Report(packet.Report{ID: "j", Born: n.now, Service: "s", Slots: 2, Serial: 1})
+	c.Assert(n.agent.Report(earlier), qt.IsFalse, qt.Commentf("the other one is alive"))
+	born := n.now
+	n.now = n.now.Add(5 * time.Second)
+	c.Assert(n.agent.Report(earlier), qt.IsTrue)
+	c.Assert(n.agent.Known(), qt.IsTrue)
+	n.agent.Gone("k")
+	earlier.Serial = 9
+	c.Assert(n.agent.Report(earlier), qt.IsFalse)
+	c.Assert(n.agent.Known(), qt.IsFalse)
+	c.Assert(n.agent.Report(packet.Report{ID: "l", Born: born.Add(time.Hour), Service: "s", Slots: 2, Serial: 1}), qt.IsTrue)
+	c.Assert(n.agent.Known(), qt.IsTrue)
+}
+
 // Guards against malformed frames that end an agent or a balancer.
 func FuzzFrames(f *testing.F) {
 	b, err := fleetwire.Append(nil, &fleetwire.Frame{Kind: fleetwire.Kind_KIND_OPEN, Service: "s", Passed: [][]byte{{1}}},
--- a/internal/packet/gate.go
+++ b/internal/packet/gate.go
@@ -174,12 +174,14 @@
 	defer a.mu.Unlock()
 	now := a.now()
 	g := &a.gate
+	same := g.known && r.ID == g.id && r.Born.Equal(g.born)
 	switch {
-	case g.known && r.Born.Equal(g.born) && (r.ID != g.id || r.Serial <= g.serial):
-		return r.ID == g.id
-	case g.known && r.Born.Before(g.born) && now.Sub(g.heard) < silentAfter:
+	case same && (g.gone || r.Serial <= g.serial):
+		return !g.gone // overtaken by a later word
+	case same || !g.known:
+	case !r.Born.After(g.born) && now.Sub(g.heard) < silentAfter:
 		return false
-	case g.known && !r.Born.Equal(g.born):
+	default:
 		a.events.change("target started again", "id", r.ID, "before", g.id, "flows", a.open)
 		a.endAll()
 		for _, f := range a.ends {
