control, fabric: two tests that failed on a busy machine

TestSocketsFollowAddress dialled the new address as soon as the old one was closed, which comes first. Change: the node renews its lease; the test waits for the new address. The assertions stay.

--- a/internal/control/control_test.go
+++ b/internal/control/control_test.go
@@ -310,8 +310,14 @@
 	node.Revision = k.sync(1, node).GetUpdate().GetRevision()
 	k.with(func() { k.instances[1].frozen = true })
 	base := uint64(1)
+	// The node renews its lease of 3 s meanwhile. Without this the test failed on a busy
+	// machine, where the changes take longer.
+	const renew = 20
 	for i := range 500 {
 		base = k.set(0, operatorKey, fmt.Sprint(i), "sieste", base, "/sieste/drains/host1", "reason: "+fmt.Sprint(i)+"\n").GetRevision()
+		if i%renew == 0 {
+			k.sync(0, node)
+		}
 	}
 	newer := k.join(0, 2)
 	newer.Revision = k.sync(0, newer).GetUpdate().GetRevision()
--- a/internal/fabric/balancer_test.go
+++ b/internal/fabric/balancer_test.go
@@ -344,6 +344,14 @@
 		_, err := net.Dial("tcp", old.String())
 		return err != nil
 	})
+	// The old sockets close before the new ones open.
+	eventually(t, func() bool {
+		conn, err := net.Dial("tcp", x.service.String())
+		if err == nil {
+			conn.Close()
+		}
+		return err == nil
+	})
 	_, err := x.dial(t, "tcp").Write([]byte("x"))
 	c.Assert(err, qt.IsNil)
 }
