--- a/internal/replica/core.go
+++ b/internal/replica/core.go
@@ -100,6 +100,8 @@
 	busy uint64
 	// acked is the latest send time of a request that was answered in this term.
 	acked uint64
+	// added is when the leader began to send to the member.
+	added time.Time
 	// echo is the newest stamp received.
 	echo *wire.Stamp
 	// snapshot and offset are the snapshot being sent, or nil.
--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -278,3 +278,24 @@
 		qt.Assert(t, b.e.core.empty(), qt.Equals, known)
 	}
 }
+
+// Guards against a member that counts as silent since the leadership began, although the
+// leader has only just begun to send to it: joining instances were removed again before they
+// could answer.
+func TestNewMemberIsNotSilent(t *testing.T) {
+	c := qt.New(t)
+	b := newBench(t)
+	x := b.e.core
+	x.observe(b.now)
+	x.role, x.since, x.peers = leader, b.now, map[string]*peer{}
+	x.syncPeers()
+	b.now = b.now.Add(time.Minute)
+	x.observe(b.now)
+	m, err := withLearner(x.membership, &wire.Member{Id: "c3", Address: "127.0.0.1:4", Joining: true})
+	c.Assert(err, qt.IsNil)
+	x.membership = m
+	x.syncPeers()
+	heard := x.heardFrom()
+	c.Assert(heard["c3"], qt.Equals, b.now)
+	c.Assert(heard["c1"], qt.Equals, b.now.Add(-time.Minute))
+}
--- a/internal/replica/leader.go
+++ b/internal/replica/leader.go
@@ -31,7 +31,7 @@
 		}
 		p := c.peers[m.GetId()]
 		if p == nil {
-			p = &peer{id: m.GetId(), next: c.log.last() + 1}
+			p = &peer{id: m.GetId(), next: c.log.last() + 1, added: c.now}
 		}
 		p.addr, _ = netip.ParseAddrPort(m.GetAddress())
 		peers[p.id] = p
@@ -66,16 +66,16 @@
 }
 
 // heardFrom returns when each other member last followed this leader, at the earliest
-// when the leadership began. It is nil elsewhere.
+// when the leader began to send to it. It is nil elsewhere.
 func (c *core) heardFrom() map[string]time.Time {
 	if c.role != leader {
 		return nil
 	}
 	out := make(map[string]time.Time, len(c.peers))
 	for id, p := range c.peers {
-		out[id] = c.since
+		out[id] = p.added
 		if p.acked > 0 {
-			out[id] = later(c.since, c.at(p.acked))
+			out[id] = later(p.added, c.at(p.acked))
 		}
 	}
 	return out
