packet, fleet, replica: less of the same, and nothing unused

Found on the last read of the change: the entry of a flow that the target turns out to hold was made in two equal branches; a load was looked up twice for each candidate; Server.call only called callOrDrop; Follower.WithChanged and replica's Node.ID had no caller. No behaviour changes.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -38,7 +38,6 @@
 	seeds  func() []netip.AddrPort
 	// announce returns the node's announcement, or nil.
 	announce func() *fleetwire.Announcement
-	changed  func(*State)
 
 	mu sync.Mutex
 	// gone is an announcement to end.
@@ -78,16 +77,12 @@
 	return func(f *Follower) { f.announce = fn }
 }
 
-// WithChanged sets a function that is called after each change of the view.
-func WithChanged(fn func(*State)) FollowerOption { return func(f *Follower) { f.changed = fn } }
-
 // NewFollower starts to poll for a node. seeds returns the instances that the settings
 // name; all others are learned from answers.
 func NewFollower(v *View, remote mangokeel.Remote, node string, seeds func() []netip.AddrPort, opts ...FollowerOption) *Follower {
 	f := &Follower{
 		view: v, remote: remote, node: node, seeds: seeds, logger: log.NewNopLogger(),
 		announce: func() *fleetwire.Announcement { return nil },
-		changed:  func(*State) {},
 		done:     make(chan struct{}),
 		patience: searchTimeout,
 	}
@@ -270,7 +265,7 @@
 		_ = level.Info(f.logger).Log("msg", "control reached", "at", addr, "revision", out.GetDesired(), "targets", len(out.GetAnnouncements()))
 	}
 	f.leader, f.connected, f.patience = addr, true, searchTimeout
-	changed := f.view.Apply(out, time.Now())
+	f.view.Apply(out, time.Now())
 	f.term, f.registry = out.GetTerm(), out.GetRegistry()
 	if out.GetComplete() && !f.complete && !out.GetAll() {
 		// Records that an additive list left in place must be compared with the whole.
@@ -283,7 +278,4 @@
 		f.gone = ""
 	}
 	f.mu.Unlock()
-	if changed {
-		f.changed(f.view.State())
-	}
 }
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -334,7 +334,7 @@
 		return nil, mangokeel.ErrNotLeader
 	}
 	var out fleetwire.ProposeReply
-	if err := s.call(ctx, st.Leader, "propose", &fleetwire.ProposeRequest{Command: b}, &out); err != nil {
+	if err := callOrDrop(ctx, s.remote, st.Leader, "propose", &fleetwire.ProposeRequest{Command: b}, &out); err != nil {
 		return nil, err
 	}
 	if !out.GetLeading() {
@@ -343,10 +343,6 @@
 	return out.GetResult(), nil
 }
 
-func (s *Server) call(ctx context.Context, addr netip.AddrPort, method string, req, resp proto.Message) error {
-	return callOrDrop(ctx, s.remote, addr, method, req, resp)
-}
-
 // callOrDrop gives up a connection whose peer went silent, which would hold up later
 // calls for as long as the system resends.
 func callOrDrop(ctx context.Context, remote mangokeel.Remote, addr netip.AddrPort, method string, req, resp proto.Message) error {
--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -472,16 +472,12 @@
 			return
 		}
 		// The agent started after the flow, or it took the flow for another's.
+		e = &entry{accepted: true}
+		a.flows[f] = e
+		a.open++
 		if x, ok := a.offers[f]; ok {
 			delete(a.offers, f)
-			e = &entry{accepted: true}
-			a.flows[f] = e
-			a.open++
 			a.tell(e, x.frame, f)
-		} else {
-			e = &entry{accepted: true}
-			a.flows[f] = e
-			a.open++
 		}
 	}
 	e.seen = now
--- a/internal/packet/place.go
+++ b/internal/packet/place.go
@@ -227,11 +227,10 @@
 	}
 	a.order = s.Order(a.order[:0], service, zone, hashOf(f))
 	for _, t := range a.order {
-		if t.Agent == a.cfg.Address || !t.Ready || s.Out[t.Zone] || contains(x.GetPassed(), t.Agent) ||
-			a.loads[t.Agent].silent(now) {
+		e := a.loads[t.Agent]
+		if t.Agent == a.cfg.Address || !t.Ready || s.Out[t.Zone] || contains(x.GetPassed(), t.Agent) || e.silent(now) {
 			continue
 		}
-		e := a.loads[t.Agent]
 		c := cost(e.value(now), e.time(now), t.Slots, t.Zone != zone, t.Cold)
 		if best == nil && !own || c < least {
 			best, least = t, c
--- a/internal/replica/change.go
+++ b/internal/replica/change.go
@@ -34,9 +34,6 @@
 	return max(0, n.timers.Now().Sub(t))
 }
 
-// ID returns the identity of this instance's data folder.
-func (n *Node) ID() string { return n.Status().ID }
-
 // Admit makes the instance at addr a voter once it has caught up. It works on the
 // leader and returns when the joining is accepted; Members shows its progress.
 func (n *Node) Admit(ctx context.Context, addr netip.AddrPort) error {
