packet: one set of options, and one end for flows that no target takes

Cause: balancers and agents had twin options for clock, events and newer configurations, and Agent.place and Agent.pass ended alike.

--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -6,8 +6,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-kit/log"
-
 	"mangokeel"
 	"mangokeel/internal/fleet"
 	"mangokeel/internal/fleetwire"
@@ -89,14 +87,9 @@
 // Agent gives packets to one target and sends its packets to callers. It is safe for
 // concurrent use.
 type Agent struct {
-	cfg    AgentConfig
-	self   []byte
-	codec  mangokeel.Codec
-	view   *fleet.View
-	link   Link
-	now    func() time.Time
-	events *Events
-	newer  func()
+	node
+	cfg  AgentConfig
+	self []byte
 
 	mu    sync.Mutex
 	flows map[mangokeel.Flow]*entry
@@ -120,31 +113,13 @@
 	said *fleetwire.Announcement
 }
 
-// AgentOption changes an Agent.
-type AgentOption func(*Agent)
-
-// WithAgentClock sets the clock, for tests.
-func WithAgentClock(now func() time.Time) AgentOption { return func(a *Agent) { a.now = now } }
-
-// WithAgentEvents sets where decisions are counted and logged.
-func WithAgentEvents(e *Events) AgentOption { return func(a *Agent) { a.events = e } }
-
-// WithAgentNewer sets a function that is called when another node has a newer
-// configuration.
-func WithAgentNewer(fn func()) AgentOption { return func(a *Agent) { a.newer = fn } }
-
 // NewAgent returns an agent that decides by a view.
-func NewAgent(cfg AgentConfig, codec mangokeel.Codec, view *fleet.View, link Link, opts ...AgentOption) *Agent {
-	a := &Agent{
-		cfg: cfg, self: fleetwire.Address(cfg.Address), codec: codec, view: view, link: link,
-		now: time.Now, events: NewEvents(log.NewNopLogger()), newer: func() {},
+func NewAgent(cfg AgentConfig, codec mangokeel.Codec, view *fleet.View, link Link, opts ...Option) *Agent {
+	return &Agent{
+		node: newNode(codec, view, link, opts), cfg: cfg, self: fleetwire.Address(cfg.Address),
 		flows: map[mangokeel.Flow]*entry{}, offers: map[mangokeel.Flow]offer{},
 		lost: map[mangokeel.Flow]time.Time{}, loads: map[netip.AddrPort]*estimate{},
 	}
-	for _, o := range opts {
-		o(a)
-	}
-	return a
 }
 
 // Frame takes a frame from a balancer or another agent.
--- a/internal/packet/agent_test.go
+++ b/internal/packet/agent_test.go
@@ -68,7 +68,7 @@
 	n := &node{sent: &sent{}, c: c, view: &fleet.View{}, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
 	n.view.Apply(reply, n.now)
 	n.agent = packet.NewAgent(packet.AgentConfig{Address: self, Service: "s"}, model.Codec{}, n.view, n.sent,
-		packet.WithAgentClock(func() time.Time { return n.now }))
+		packet.WithClock(func() time.Time { return n.now }))
 	n.agent.Report(packet.Report{ID: "i", Born: n.now, Service: "s", Slots: 2, Serial: 1})
 	n.now = n.now.Add(2 * fleet.Settling)
 	return n
--- a/internal/packet/balancer.go
+++ b/internal/packet/balancer.go
@@ -5,8 +5,6 @@
 	"sync"
 	"time"
 
-	"github.com/go-kit/log"
-
 	"mangokeel"
 	"mangokeel/internal/fleet"
 	"mangokeel/internal/fleetwire"
@@ -59,13 +57,8 @@
 
 // Balancer hands callers' packets to agents. It is safe for concurrent use.
 type Balancer struct {
-	cfg    BalancerConfig
-	codec  mangokeel.Codec
-	view   *fleet.View
-	link   Link
-	now    func() time.Time
-	events *Events
-	newer  func()
+	node
+	cfg BalancerConfig
 
 	mu    sync.Mutex
 	hints map[mangokeel.Flow]hint
@@ -78,33 +71,12 @@
 	origin   []byte
 }
 
-// BalancerOption changes a Balancer.
-type BalancerOption func(*Balancer)
-
-// WithBalancerClock sets the clock, for tests.
-func WithBalancerClock(now func() time.Time) BalancerOption {
-	return func(b *Balancer) { b.now = now }
-}
-
-// WithBalancerEvents sets where decisions are counted and logged.
-func WithBalancerEvents(e *Events) BalancerOption { return func(b *Balancer) { b.events = e } }
-
-// WithBalancerNewer sets a function that is called when another node has a newer
-// configuration.
-func WithBalancerNewer(fn func()) BalancerOption { return func(b *Balancer) { b.newer = fn } }
-
 // NewBalancer returns a balancer that decides by a view.
-func NewBalancer(cfg BalancerConfig, codec mangokeel.Codec, view *fleet.View, link Link, opts ...BalancerOption) *Balancer {
-	b := &Balancer{
-		cfg: cfg, codec: codec, view: view, link: link, now: time.Now,
-		events: NewEvents(log.NewNopLogger()), newer: func() {},
+func NewBalancer(cfg BalancerConfig, codec mangokeel.Codec, view *fleet.View, link Link, opts ...Option) *Balancer {
+	return &Balancer{
+		node: newNode(codec, view, link, opts), cfg: cfg, origin: fleetwire.Address(cfg.Hints),
 		hints: map[mangokeel.Flow]hint{}, openings: map[mangokeel.Flow]opening{}, patience: map[netip.AddrPort]*patience{},
-		origin: fleetwire.Address(cfg.Hints),
-	}
-	for _, o := range opts {
-		o(b)
 	}
-	return b
 }
 
 // Caller takes a packet from a caller.
--- a/internal/packet/events_test.go
+++ b/internal/packet/events_test.go
@@ -54,9 +54,9 @@
 	clock := func() time.Time { return now }
 	view.Apply(reply(5, "s"), now)
 	a := packet.NewAgent(packet.AgentConfig{Address: self, Service: "s"}, model.Codec{}, view, out,
-		packet.WithAgentClock(clock), packet.WithAgentEvents(events))
+		packet.WithClock(clock), packet.WithEvents(events))
 	b := packet.NewBalancer(packet.BalancerConfig{Hints: origin}, model.Codec{}, view, out,
-		packet.WithBalancerClock(clock), packet.WithBalancerEvents(events))
+		packet.WithClock(clock), packet.WithEvents(events))
 	a.Report(packet.Report{ID: "i", Born: now, Service: "s", Slots: 1, Serial: 1})
 	now = now.Add(time.Second)
 	n := &node{sent: out, c: c, agent: a, view: view}
@@ -96,7 +96,7 @@
 	view.Apply(reply(5, "s"), now)
 	events := packet.NewEvents(log.Logger(lines), packet.WithLines(10))
 	a := packet.NewAgent(packet.AgentConfig{Address: self, Service: "s"}, model.Codec{}, view, out,
-		packet.WithAgentClock(func() time.Time { return now.Add(time.Hour) }), packet.WithAgentEvents(events))
+		packet.WithClock(func() time.Time { return now.Add(time.Hour) }), packet.WithEvents(events))
 	a.Report(packet.Report{ID: "i", Born: now, Service: "s", Slots: 1 << 10, Serial: 1})
 	n := &node{sent: out, c: c, agent: a, view: view}
 	for i := range 500 {
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -21,10 +21,13 @@
 import (
 	"encoding/binary"
 	"net/netip"
+	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"github.com/go-kit/log"
 
 	"mangokeel"
+	"mangokeel/internal/fleet"
 	"mangokeel/internal/fleetwire"
 )
 
@@ -39,6 +42,39 @@
 	Caller(to netip.Addr, b []byte)
 }
 
+// node is what balancers and agents have in common.
+type node struct {
+	codec  mangokeel.Codec
+	view   *fleet.View
+	link   Link
+	now    func() time.Time
+	events *Events
+	newer  func()
+}
+
+// Option changes a Balancer or an Agent.
+type Option func(*node)
+
+// WithClock sets the clock, for tests.
+func WithClock(now func() time.Time) Option { return func(n *node) { n.now = now } }
+
+// WithEvents sets where decisions are counted and logged.
+func WithEvents(e *Events) Option { return func(n *node) { n.events = e } }
+
+// WithNewer sets a function that is called when another node has a newer configuration.
+func WithNewer(fn func()) Option { return func(n *node) { n.newer = fn } }
+
+func newNode(codec mangokeel.Codec, view *fleet.View, link Link, opts []Option) node {
+	n := node{
+		codec: codec, view: view, link: link, now: time.Now,
+		events: NewEvents(log.NewNopLogger()), newer: func() {},
+	}
+	for _, o := range opts {
+		o(&n)
+	}
+	return n
+}
+
 // hashOf returns the hash of a flow. All nodes compute the same.
 func hashOf(f mangokeel.Flow) uint64 {
 	var b [36]byte
--- a/internal/packet/place.go
+++ b/internal/packet/place.go
@@ -168,34 +168,47 @@
 		a.accept(x, f, p, raw)
 		return
 	}
-	if len(x.GetPassed()) < passLimit {
-		if t := a.better(s, x, f, service, false); t != nil {
-			a.passTo(t, x, f, p, raw)
-			return
-		}
+	if a.passOn(s, x, f, service, p, raw, false) {
+		return
 	}
-	switch {
-	case own:
+	if own {
 		a.accept(x, f, p, raw)
-	case a.mayAdmit(s, service) && a.wait(x, f, p, raw):
-	default:
-		a.refuse(x, f, p, "no target takes the flow")
+		return
 	}
+	a.waitOrRefuse(s, x, f, service, p, raw)
 }
 
 // pass finds another target after the own one did not take a flow.
 func (a *Agent) pass(s *fleet.State, x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
 	service, ok := a.choose(s, x, f)
-	if ok && len(x.GetPassed()) < passLimit {
-		if t := a.better(s, x, f, service, true); t != nil {
-			a.passTo(t, x, f, p, raw)
-			return
-		}
-	}
-	if ok && a.mayAdmit(s, service) && a.wait(x, f, p, raw) {
+	if !ok {
+		a.refuse(x, f, p, "no route")
 		return
 	}
-	a.refuse(x, f, p, "no target takes the flow")
+	if !a.passOn(s, x, f, service, p, raw, true) {
+		a.waitOrRefuse(s, x, f, service, p, raw)
+	}
+}
+
+// passOn passes a new flow to the agent of a better target, if there is one and the frame
+// has not been passed on too often.
+func (a *Agent) passOn(s *fleet.State, x *fleetwire.Frame, f mangokeel.Flow, service string, p mangokeel.Packet, raw []byte, returned bool) bool {
+	if len(x.GetPassed()) >= passLimit {
+		return false
+	}
+	t := a.better(s, x, f, service, returned)
+	if t == nil {
+		return false
+	}
+	a.passTo(t, x, f, p, raw)
+	return true
+}
+
+// waitOrRefuse lets a flow wait for the own target, or refuses it.
+func (a *Agent) waitOrRefuse(s *fleet.State, x *fleetwire.Frame, f mangokeel.Flow, service string, p mangokeel.Packet, raw []byte) {
+	if !a.mayAdmit(s, service) || !a.wait(x, f, p, raw) {
+		a.refuse(x, f, p, "no target takes the flow")
+	}
 }
 
 func (a *Agent) passTo(t *fleet.Target, x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
--- a/standin/model/fleet.go
+++ b/standin/model/fleet.go
@@ -168,8 +168,8 @@
 	h.starts++
 	h.view = &fleet.View{}
 	h.agent = packet.NewAgent(packet.AgentConfig{Address: h.Agent, Zone: h.Zone, Service: h.Target.cfg.Service, Start: h.starts},
-		Codec{}, h.view, hostLink{h.fleet, h}, packet.WithAgentClock(h.fleet.Now),
-		packet.WithAgentEvents(packet.NewEvents(h.fleet.logger(h.Agent), packet.WithLines(allLines))))
+		Codec{}, h.view, hostLink{h.fleet, h}, packet.WithClock(h.fleet.Now),
+		packet.WithEvents(packet.NewEvents(h.fleet.logger(h.Agent), packet.WithLines(allLines))))
 	h.Report()
 	h.fleet.poll(h.view)
 }
@@ -210,7 +210,7 @@
 func (m *Fleet) Restart(b *Balancer) {
 	b.view = &fleet.View{}
 	b.balancer = packet.NewBalancer(packet.BalancerConfig{Zone: b.Zone, Hints: b.address}, Codec{}, b.view, balancerLink{m, b},
-		packet.WithBalancerClock(m.Now), packet.WithBalancerEvents(packet.NewEvents(m.logger(b.address), packet.WithLines(allLines))))
+		packet.WithClock(m.Now), packet.WithEvents(packet.NewEvents(m.logger(b.address), packet.WithLines(allLines))))
 	m.poll(b.view)
 }
 
