fleet: compressors of large answers are used again

Cause: the leader packs each answer above 1 KB anew for every node, and a new compressor takes 1.2 MB. Ruled out: sharing one packed answer among nodes, since nodes poll from different revisions. Change: compressors come from a pool; packing has its own file.

--- a/internal/fleet/desired.go
+++ b/internal/fleet/desired.go
@@ -13,9 +13,6 @@
 package fleet
 
 import (
-	"bytes"
-	"compress/flate"
-	"io"
 	"slices"
 	"sync"
 
@@ -196,32 +193,3 @@
 		out.Zones = append(out.Zones, proto.CloneOf(z))
 	}
 }
-
-// pack encodes and compresses a message. A configuration shrinks to about a tenth.
-func pack(m proto.Message) ([]byte, error) {
-	b, err := proto.Marshal(m)
-	if err != nil {
-		return nil, errors.Wrap(err, "encode")
-	}
-	var out bytes.Buffer
-	w, err := flate.NewWriter(&out, flate.BestSpeed)
-	if err != nil {
-		return nil, errors.Wrap(err, "compress")
-	}
-	if _, err := w.Write(b); err != nil {
-		return nil, errors.Wrap(err, "compress")
-	}
-	if err := w.Close(); err != nil {
-		return nil, errors.Wrap(err, "compress")
-	}
-	return out.Bytes(), nil
-}
-
-// unpack is the inverse of pack.
-func unpack(b []byte, m proto.Message) error {
-	plain, err := io.ReadAll(flate.NewReader(bytes.NewReader(b)))
-	if err != nil {
-		return errors.Wrap(err, "decompress")
-	}
-	return errors.Wrap(proto.Unmarshal(plain, m), "decode")
-}
--- a/internal/fleet/desired_test.go
+++ b/internal/fleet/desired_test.go
@@ -31,7 +31,7 @@
 
 func apply(c *qt.C, m *Desired, r mangokeel.Revision, d *fleetwire.Command) *fleetwire.Result {
 	c.Helper()
-	b, err := pack(d)
+	b, err := new(packer).pack(d)
 	c.Assert(err, qt.IsNil)
 	out := &fleetwire.Result{}
 	c.Assert(proto.Unmarshal(m.Apply(r, b), out), qt.IsNil)
--- a/internal/fleet/follower_test.go
+++ b/internal/fleet/follower_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"net/netip"
 	"sync/atomic"
 	"testing"
@@ -78,7 +79,10 @@
 	for i := range 400 {
 		in.Routes = append(in.Routes, route(netip.AddrPortFrom(instance.Addr(), uint16(i+1)).String(), "s"))
 	}
-	b, err := pack(in)
+	p := &packer{}
+	_, err := p.pack(in)
+	c.Assert(err, qt.IsNil)
+	b, err := p.pack(in) // with a compressor that was used before
 	c.Assert(err, qt.IsNil)
 	c.Assert(len(b) < proto.Size(in)/4, qt.IsTrue, qt.Commentf("%d of %d bytes", len(b), proto.Size(in)))
 	out := &fleetwire.PollReply{Packed: b}
@@ -124,3 +128,31 @@
 	}
 	c.Assert(time.Since(began) < election+3*searchTimeout, qt.IsTrue, qt.Commentf("%v", time.Since(began)))
 }
+
+// Measures what the leader does for each node when a large configuration changes, and what a
+// node does with it.
+func BenchmarkPack(b *testing.B) {
+	for _, n := range []int{8, 390, 1440} {
+		in := &fleetwire.PollReply{Leading: true, Desired: 7, Whole: true}
+		for i := range n {
+			in.Routes = append(in.Routes, route(netip.AddrPortFrom(instance.Addr(), uint16(i+1)).String(), "s"))
+		}
+		p := &packer{}
+		packed, err := p.pack(in)
+		if err != nil {
+			b.Fatal(err)
+		}
+		b.Run(fmt.Sprintf("leader/%d routes", n), func(b *testing.B) {
+			for b.Loop() {
+				_, _ = p.pack(in)
+			}
+		})
+		b.Run(fmt.Sprintf("node/%d routes", n), func(b *testing.B) {
+			for b.Loop() {
+				var out fleetwire.PollReply
+				_ = unpack(packed, &out)
+				new(View).Apply(&out, time.Now())
+			}
+		})
+	}
+}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -60,6 +60,7 @@
 	losses   int
 	registry *registry
 	metrics  *serverMetrics
+	packer   packer
 
 	mu sync.Mutex
 	// asking has the instances that want to become voters, with the time of the last
@@ -200,7 +201,7 @@
 	if proto.Size(out) < packAbove {
 		return out
 	}
-	b, err := pack(out)
+	b, err := s.packer.pack(out)
 	if err != nil {
 		_ = level.Error(s.logger).Log("msg", "answer not packed", "err", err)
 		return out
@@ -303,7 +304,7 @@
 
 // propose gets a command accepted through the leader. Every command may be repeated.
 func (s *Server) propose(ctx context.Context, d *fleetwire.Command) (*fleetwire.Result, error) {
-	b, err := pack(d)
+	b, err := s.packer.pack(d)
 	if err != nil {
 		return nil, err
 	}
