packet: targets that fail requests get fewer flows

Health answers do not help: they may be false either way. Change: an agent keeps the share of requests that its target answers with an error or leaves unanswered (Codec says which answers are errors), tells it with its load, and places flows by the expected loss; five seconds without answers and the share is forgotten, so that a recovery shows. Each failed request leaves a line (event failed) with its reason.

--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -66,6 +66,9 @@
 	ahead float64
 	// requested is set once the caller has sent data.
 	requested bool
+	// awaiting is set from a request until the beginning of its answer. Packets may arrive
+	// in another order than they were sent, so that others may come first.
+	awaiting bool
 	// closed is set after the last packet of the target.
 	closed bool
 	// acknowledged is the caller's last acknowledgement, for a reset.
@@ -284,15 +287,41 @@
 		if !e.busy || !e.requested {
 			a.events.decide(Asked, f, "request", lazyRequest{a.codec, raw}, "busy", a.busy, "slots", a.gate.slots)
 		}
-		e.requested = true
+		e.requested, e.awaiting = true, true
 		a.setBusy(e, true)
 	}
 	if p.Reset || p.Final {
+		a.unanswered(e, f, "given up by the caller")
 		a.setBusy(e, false)
 		a.setClosed(e)
 	}
 }
 
+// unanswered notes that a request of a flow ends without an answer, if one is under way.
+func (a *Agent) unanswered(e *entry, f mangokeel.Flow, reason string) {
+	if e.awaiting {
+		a.failed(e, f, reason)
+	}
+}
+
+// began takes over what the beginning of an answer says.
+func (a *Agent) began(e *entry, f mangokeel.Flow, p mangokeel.Packet) {
+	if p.Failed {
+		a.failed(e, f, "failed answer")
+		return
+	}
+	e.awaiting = false
+	a.service.outcome(a.now(), false)
+}
+
+// failed notes a request that the target did not serve.
+func (a *Agent) failed(e *entry, f mangokeel.Flow, reason string) {
+	now := a.now()
+	e.awaiting = false
+	a.service.outcome(now, true)
+	a.events.decide(Failed, f, "reason", reason, "after", now.Sub(e.asked), "ahead", e.ahead, "failing", a.service.failing)
+}
+
 // unknown looks for the owner of a flow: first at the own target, then at the agents that
 // have not been asked.
 func (a *Agent) unknown(s *fleet.State, x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
@@ -460,14 +489,23 @@
 		e.accepted, e.frame = true, nil
 		a.open++
 	}
+	begins := p.Sequence == e.acknowledged
 	if p.Size > 0 {
 		if e.busy && e.requested {
 			a.events.answers.Observe(now.Sub(e.asked).Seconds())
-			a.service.observe(now.Sub(e.asked), e.ahead)
+			if !p.Failed { // how fast a target fails says nothing of its work
+				a.service.observe(now.Sub(e.asked), e.ahead)
+			}
+		}
+		if e.awaiting && begins {
+			a.began(e, f, p)
 		}
 		a.setBusy(e, false)
 		e.requested = false
 	}
+	if p.Reset || p.Final && begins {
+		a.unanswered(e, f, "ended by the target")
+	}
 	if p.Final || p.Reset {
 		a.setBusy(e, false)
 		a.setClosed(e)
@@ -568,6 +606,7 @@
 	}
 	for f, e := range a.flows {
 		if since := now.Sub(e.asked); e.busy && (since > busyLife || !e.requested && since > requestDelay) {
+			a.unanswered(e, f, "no answer")
 			a.setBusy(e, false)
 		}
 		life := idle + idleSlack
--- a/internal/packet/agent_test.go
+++ b/internal/packet/agent_test.go
@@ -257,3 +257,50 @@
 	n.returned(p)
 	c.Assert(n.resets, qt.HasLen, 1, qt.Commentf("it does not wait again"))
 }
+
+// Guards against a way to fail a request that others do not hear of, so that they go on
+// sending flows to the target.
+func TestFailuresAreTold(t *testing.T) {
+	for _, x := range []struct {
+		name    string
+		end     func(n *node)
+		failing bool
+	}{
+		{"answered", func(n *node) { n.answer(mangokeel.Packet{Size: 100}) }, false},
+		{"failed answer", func(n *node) { n.answer(mangokeel.Packet{Size: 100, Failed: true}) }, true},
+		{"answer after the last packet", func(n *node) {
+			n.answer(mangokeel.Packet{Sequence: 100, Final: true})
+			n.answer(mangokeel.Packet{Size: 100})
+		}, false},
+		{"failed answer after the last packet", func(n *node) {
+			n.answer(mangokeel.Packet{Sequence: 100, Final: true})
+			n.answer(mangokeel.Packet{Size: 100, Failed: true})
+		}, true},
+		{"part of a body that looks like a failure", func(n *node) { n.answer(mangokeel.Packet{Sequence: 1200, Size: 100, Failed: true}) }, false},
+		{"closed by the target", func(n *node) { n.answer(mangokeel.Packet{Final: true}) }, true},
+		{"reset by the target", func(n *node) { n.answer(mangokeel.Packet{Reset: true}) }, true},
+		{"given up by the caller", func(n *node) { n.data(mangokeel.Packet{Reset: true}) }, true},
+		{"never answered", func(n *node) { n.now = n.now.Add(3 * time.Second); n.agent.Sweep() }, true},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			n := newNode(c, reply(5, "s"))
+			n.frame(open(5))
+			n.answer(mangokeel.Packet{Accepting: true})
+			n.data(mangokeel.Packet{Size: 100})
+			x.end(n)
+			c.Assert(n.agent.Announcement().GetLoad().GetFailing() > 0, qt.Equals, x.failing)
+		})
+	}
+}
+
+// data brings a later packet of the flow from its caller.
+func (n *node) data(p mangokeel.Packet) {
+	n.frame(&fleetwire.Frame{Kind: fleetwire.Kind_KIND_DATA, Revision: 5}, p)
+}
+
+// answer makes the target send a packet of the flow.
+func (n *node) answer(p mangokeel.Packet) {
+	p.Source, p.Destination = model.Address, caller
+	n.agent.Target(model.Codec{}.Encode(p))
+}
--- a/internal/packet/events.go
+++ b/internal/packet/events.go
@@ -44,6 +44,8 @@
 	Lost
 	// Ended flows were reset because their target ended.
 	Ended
+	// Failed requests got no answer from the target, or one that says that it failed.
+	Failed
 	events
 )
 
@@ -51,7 +53,7 @@
 func (e Event) String() string {
 	return [...]string{
 		"forwarded", "delivered", "returned", "answered", "opened", "asked", "dropped", "malformed", "bypassed",
-		"passed", "queued", "refused", "walked", "lost", "ended",
+		"passed", "queued", "refused", "walked", "lost", "ended", "failed",
 	}[e]
 }
 
@@ -75,7 +77,7 @@
 
 func (e Event) class() class {
 	switch e {
-	case Refused, Lost, Ended, Bypassed:
+	case Refused, Lost, Ended, Bypassed, Failed:
 		return failure
 	}
 	return ordinary
--- a/internal/packet/events_test.go
+++ b/internal/packet/events_test.go
@@ -75,13 +75,18 @@
 		}
 		now = now.Add(300 * time.Millisecond)
 		a.Sweep()
+		n.frame(open(5))
+		n.answer(mangokeel.Packet{Accepting: true})
+		n.data(mangokeel.Packet{Size: 1})
+		n.answer(mangokeel.Packet{Size: 1, Failed: true})
+		n.answer(mangokeel.Packet{Final: true})
 	}
 	a.Report(packet.Report{ID: "j", Born: now, Service: "s", Slots: 1, Serial: 1})
 	count := counted(c, events)
-	for _, e := range []packet.Event{packet.Refused, packet.Passed, packet.Lost, packet.Ended, packet.Bypassed, packet.Queued, packet.Walked} {
+	for _, e := range []packet.Event{packet.Refused, packet.Passed, packet.Lost, packet.Ended, packet.Bypassed, packet.Queued, packet.Walked, packet.Failed} {
 		c.Assert(lines[e.String()], qt.Equals, count[e.String()], qt.Commentf("%v", e))
 	}
-	for _, e := range []packet.Event{packet.Refused, packet.Passed, packet.Ended, packet.Bypassed, packet.Walked} {
+	for _, e := range []packet.Event{packet.Refused, packet.Passed, packet.Ended, packet.Bypassed, packet.Walked, packet.Failed} {
 		c.Assert(count[e.String()] > 0, qt.IsTrue, qt.Commentf("%v does not occur", e))
 	}
 }
--- a/internal/packet/fleet_test.go
+++ b/internal/packet/fleet_test.go
@@ -273,6 +273,31 @@
 	c.Assert(after.InAim-before.InAim >= asked*97/100, qt.IsTrue, qt.Commentf("%v, before %v", after, before))
 }
 
+// Guards against a target that answers with failures, quickly and with a good report, and so
+// looks like the fastest one: callers do not repeat a request that may have run.
+func TestFailingTargetGetsFewFlows(t *testing.T) {
+	for _, share := range []float64{1, 0.4} {
+		c := qt.New(t)
+		m := newFleet(11)
+		bad := m.Hosts[0].Target
+		bad.FailShare = share
+		cfg := load(400, 12*time.Second)
+		cfg.Retries = 0
+		m.Load(cfg)
+		m.Run(15 * time.Second)
+		check(c, m)
+		fair := share * float64(m.Stats.Asked) / float64(len(m.Hosts))
+		c.Assert(float64(bad.FailedRequests) < fair/4, qt.IsTrue, qt.Commentf("share %v: %d failed, even spread %.0f", share, bad.FailedRequests, fair))
+
+		bad.FailShare = 0
+		served := bad.Served
+		m.Load(cfg)
+		m.Run(15 * time.Second)
+		even := cfg.PerSecond * cfg.For.Seconds() / float64(len(m.Hosts))
+		c.Assert(float64(bad.Served-served) > even/2, qt.IsTrue, qt.Commentf("%d served after the failures, even spread %.0f", bad.Served-served, even))
+	}
+}
+
 // Guards against callers of an ended target that hear nothing: their flows end with a reset,
 // and a request that may be repeated runs elsewhere at once.
 func TestTargetStartsAgain(t *testing.T) {
--- a/internal/packet/place.go
+++ b/internal/packet/place.go
@@ -25,6 +25,16 @@
 	serviceShare = 0.1
 	// serviceLife is how long an agent's word on its service time counts.
 	serviceLife = 2 * time.Second
+	// failShare is the part of the share of failures that a new answer replaces.
+	failShare = 0.1
+	// failNoise is the share of failures that counts as none: that of a single one.
+	failNoise = failShare
+	// failLife is how long failures count without further answers: a failing target gets
+	// flows again after it, so that its recovery shows.
+	failLife = 5 * time.Second
+	// failCost is what a failed answer costs its caller: the deadlines of small requests
+	// begin at half a second.
+	failCost = 500 * time.Millisecond
 	// slowLeast is how many others must be known for a comparison.
 	slowLeast = 3
 	// slowFactor is how much slower than others a target is that takes no flow without a
@@ -49,6 +59,8 @@
 type estimate struct {
 	busy    float64
 	service time.Duration
+	// failing is the share of requests that the target fails.
+	failing float64
 	at      time.Time
 	// placed counts the flows that this agent has sent there since.
 	placed float64
@@ -71,6 +83,14 @@
 	return e != nil && e.service > 0 && now.Sub(e.at) < serviceLife
 }
 
+// failures returns the share of requests that the agent's target fails.
+func (e *estimate) failures(now time.Time) float64 {
+	if e == nil || now.Sub(e.at) >= serviceLife {
+		return 0
+	}
+	return e.failing
+}
+
 // silent reports whether the agent does not answer.
 func (e *estimate) silent(now time.Time) bool {
 	return e != nil && e.unanswered >= answerLeast && now.Sub(e.waiting) > answerLimit && now.Sub(e.passed) < answerRetry
@@ -86,8 +106,14 @@
 	e.passed = now
 }
 
-// service estimates how long a target works on a request. The zero value has no estimate.
-type service struct{ mean float64 }
+// service estimates how long a target works on a request and how often it fails. The zero
+// value has no estimate.
+type service struct {
+	mean float64
+	// failing is the share of failures at the time failed.
+	failing float64
+	failed  time.Time
+}
 
 // observe takes an answer that came d after its request, with that much work for each slot
 // at the time.
@@ -98,6 +124,20 @@
 	s.mean += serviceShare * (float64(d)/max(1, ahead) - s.mean)
 }
 
+// outcome takes over whether the target could serve a request.
+func (s *service) outcome(now time.Time, failed bool) {
+	s.failing = (1 - failShare) * s.failures(now)
+	if failed {
+		s.failing += failShare
+	}
+	s.failed = now
+}
+
+// failures returns the share of requests that the target fails.
+func (s *service) failures(now time.Time) float64 {
+	return s.failing * max(0, 1-float64(now.Sub(s.failed))/float64(failLife))
+}
+
 // time returns the estimate.
 func (s *service) time() time.Duration {
 	if s.mean == 0 {
@@ -117,7 +157,7 @@
 
 // load returns what this agent tells of its target.
 func (a *Agent) load() *fleetwire.Load {
-	return &fleetwire.Load{Busy: uint32(max(0, a.busy) + len(a.queue.list)), Flows: uint32(max(0, a.open)), Slots: uint32(a.gate.slots), ServiceUs: uint32(min(a.service.mean/float64(time.Microsecond), math.MaxUint32))}
+	return &fleetwire.Load{Busy: uint32(max(0, a.busy) + len(a.queue.list)), Flows: uint32(max(0, a.open)), Slots: uint32(a.gate.slots), ServiceUs: uint32(min(a.service.mean/float64(time.Microsecond), math.MaxUint32)), Failing: uint32(1000 * a.service.failures(a.now()))}
 }
 
 // learn takes over what the sender of a frame says of its load.
@@ -134,7 +174,7 @@
 		from = fleetwire.ParseAddress(passed[len(passed)-1])
 	}
 	if from.IsValid() {
-		a.loads[from] = &estimate{busy: float64(l.GetBusy()), service: time.Duration(l.GetServiceUs()) * time.Microsecond, at: a.now()}
+		a.loads[from] = &estimate{busy: float64(l.GetBusy()), service: time.Duration(l.GetServiceUs()) * time.Microsecond, failing: float64(l.GetFailing()) / 1000, at: a.now()}
 	}
 }
 
@@ -164,7 +204,7 @@
 		return
 	}
 	own := len(a.queue.list) == 0 && a.admits(s, service, f)
-	if own && a.busy < a.gate.slots && !a.slow(s, service) {
+	if own && a.busy < a.gate.slots && !a.slow(s, service) && !a.fails(s, service) {
 		a.accept(x, f, p, raw)
 		return
 	}
@@ -236,7 +276,8 @@
 	own := !returned && a.mayAdmit(s, service)
 	zone := mangokeel.AvailabilityZone(x.GetZone())
 	if own {
-		least = cost(float64(a.busy+len(a.queue.list)), a.service.time(), a.gate.slots, a.cfg.Zone != zone, a.gate.coldNow(now))
+		least = cost(float64(a.busy+len(a.queue.list)), a.service.time(), a.gate.slots, a.cfg.Zone != zone, a.gate.coldNow(now)) +
+			risk(a.service.failures(now))
 	}
 	a.order = s.Order(a.order[:0], service, zone, hashOf(f))
 	for _, t := range a.order {
@@ -244,7 +285,7 @@
 		if t.Agent == a.cfg.Address || !t.Ready || s.Out[t.Zone] || contains(x.GetPassed(), t.Agent) || e.silent(now) {
 			continue
 		}
-		c := cost(e.value(now), e.time(now), t.Slots, t.Zone != zone, t.Cold)
+		c := cost(e.value(now), e.time(now), t.Slots, t.Zone != zone, t.Cold) + risk(e.failures(now))
 		if best == nil && !own || c < least {
 			best, least = t, c
 		}
@@ -264,6 +305,35 @@
 	return time.Duration(c)
 }
 
+// risk is what a caller loses on average with a target that fails that share of its requests.
+func risk(failing float64) time.Duration {
+	if failing <= failNoise {
+		return 0
+	}
+	return time.Duration(failing * float64(failCost))
+}
+
+// fails reports whether the own target fails much more of its requests than half of the
+// others of its service.
+func (a *Agent) fails(s *fleet.State, service string) bool {
+	now := a.now()
+	own := a.service.failures(now)
+	if own <= failNoise {
+		return false
+	}
+	others, better := 0, 0
+	for _, t := range s.Targets[service] {
+		if t.Agent == a.cfg.Address || !t.Ready || s.Out[t.Zone] {
+			continue
+		}
+		others++
+		if 2*a.loads[t.Agent].failures(now) < own {
+			better++
+		}
+	}
+	return 2*better > others
+}
+
 // slow reports whether the own target takes much longer for a request than half of the
 // others of its service.
 func (a *Agent) slow(s *fleet.State, service string) bool {
--- a/internal/packet/soak_test.go
+++ b/internal/packet/soak_test.go
@@ -73,7 +73,7 @@
 	h := s.Hosts[s.r.IntN(len(s.Hosts))]
 	b := s.Balancers[s.r.IntN(len(s.Balancers))]
 	name := ""
-	switch s.r.IntN(12) {
+	switch s.r.IntN(13) {
 	case 0:
 		name = "agent restarts"
 		h.StopAgent()
@@ -120,6 +120,9 @@
 	case 11:
 		name = "control changes its leader"
 		s.Complete = !s.Complete
+	case 12:
+		name = "target fails requests"
+		h.Target.FailShare = s.r.Float64()
 	}
 	s.log = append(s.log, name)
 }
@@ -173,7 +176,7 @@
 	for _, h := range s.Hosts {
 		h.StartAgentIfStopped()
 		s.Freeze(h.Agent, false)
-		h.Target.Draining, h.Target.Factor = false, 0
+		h.Target.Draining, h.Target.Factor, h.Target.FailShare = false, 0, 0
 		h.Report()
 	}
 	for _, b := range s.Balancers {
--- a/mangokeel.go
+++ b/mangokeel.go
@@ -157,6 +157,9 @@
 	Opening, Accepting, Final, Reset bool
 	// Returned marks a packet that the target did not take.
 	Returned bool
+	// Failed marks data that begins an answer by which the target says that it could not
+	// serve the request.
+	Failed bool
 	// Sequence numbers the sender's bytes, Acknowledged those it has received.
 	Sequence, Acknowledged uint32
 	// Copy counts the copies of an opening packet that were sent before this one.
--- a/standin/model/caller.go
+++ b/standin/model/caller.go
@@ -164,6 +164,9 @@
 	case p.Accepting && !c.accepted:
 		c.accepted, c.server = true, p.Sequence
 		c.ask()
+	case p.Failed && c.awaiting:
+		c.send(mangokeel.Packet{Sequence: c.number + 2, Acknowledged: c.server, Final: true})
+		c.failed()
 	case p.Size > 0 && c.awaiting:
 		c.answered()
 	}
--- a/standin/model/codec.go
+++ b/standin/model/codec.go
@@ -21,6 +21,7 @@
 	final
 	reset
 	returned
+	failed
 )
 
 const packetLen = 30
@@ -28,7 +29,7 @@
 // Encode returns the bytes of a packet.
 func (Codec) Encode(p mangokeel.Packet) []byte {
 	b := make([]byte, packetLen)
-	for i, on := range []bool{p.Opening, p.Accepting, p.Final, p.Reset, p.Returned} {
+	for i, on := range []bool{p.Opening, p.Accepting, p.Final, p.Reset, p.Returned, p.Failed} {
 		if on {
 			b[0] |= 1 << i
 		}
@@ -59,7 +60,7 @@
 	}
 	return mangokeel.Packet{
 		Opening: b[0]&opening != 0, Accepting: b[0]&accepting != 0, Final: b[0]&final != 0,
-		Reset: b[0]&reset != 0, Returned: b[0]&returned != 0,
+		Reset: b[0]&reset != 0, Returned: b[0]&returned != 0, Failed: b[0]&failed != 0,
 		Source: address(b[1:]), Destination: address(b[7:]),
 		Sequence: binary.BigEndian.Uint32(b[13:]), Acknowledged: binary.BigEndian.Uint32(b[17:]),
 		Copy: int(binary.BigEndian.Uint32(b[21:])), Size: int(binary.BigEndian.Uint32(b[25:])),
--- a/standin/model/target.go
+++ b/standin/model/target.go
@@ -33,6 +33,8 @@
 	Mute bool
 	// Factor slows the work down; 0 is 1.
 	Factor float64
+	// FailShare is the part of the requests that the target answers with a failure, at once.
+	FailShare float64
 
 	flows   map[mangokeel.Flow]bool
 	running int
@@ -42,7 +44,9 @@
 	// Foreign counts packets of flows that the target does not hold.
 	Foreign int
 	Served  int
-	ended   bool
+	// FailedRequests counts the answers that said so.
+	FailedRequests int
+	ended          bool
 }
 
 func (t *Target) report() packet.Report {
@@ -82,6 +86,11 @@
 			t.send(mangokeel.Packet{Source: f.Address, Destination: f.Caller, Final: true})
 		}
 	case p.Size > 0:
+		if t.fleet.rand.Float64() < t.FailShare {
+			t.FailedRequests++
+			t.send(mangokeel.Packet{Source: f.Address, Destination: f.Caller, Sequence: t.host.number, Size: 100, Failed: true})
+			return
+		}
 		t.waiting = append(t.waiting, f)
 		t.work()
 	}
@@ -121,7 +130,7 @@
 			}
 			t.running--
 			t.Served++
-			t.send(mangokeel.Packet{Source: f.Address, Destination: f.Caller, Size: 1000})
+			t.send(mangokeel.Packet{Source: f.Address, Destination: f.Caller, Sequence: t.host.number, Size: 1000})
 			t.work()
 		})
 	}
