packet: a balancer that reaches nothing leaves the rotation

Ruled out: control alone as the sign: all balancers would leave while a leader is elected; the data path alone: a service without targets would take its balancers out. Change: after 1 s without control and three copies of opening packets without any flow that goes on, checks get 503, until control or a flow answers, for 10 s at most.

--- a/internal/packet/balancer.go
+++ b/internal/packet/balancer.go
@@ -65,6 +65,7 @@
 	// openings are the flows that were opened within copyWindow.
 	openings map[mangokeel.Flow]opening
 	patience map[netip.AddrPort]*patience
+	reach    reach
 	frame    fleetwire.Frame
 	buf      []byte
 	order    []*fleet.Target
@@ -100,6 +101,10 @@
 		b.open(s, route, f, p, raw)
 		return
 	}
+	if _, ok := b.openings[f]; ok && !p.Reset {
+		delete(b.openings, f)
+		b.reach.advanced()
+	}
 	b.data(s, route, f, raw)
 }
 
@@ -129,6 +134,9 @@
 		return
 	}
 	now := b.now()
+	if p.Copy > 0 {
+		b.reach.copied(now)
+	}
 	first := b.order[0]
 	to := b.heard(now)
 	// Copies whose first packet went elsewhere say nothing about the agent.
@@ -222,6 +230,22 @@
 	b.link.Frame(to, out)
 }
 
+// Serving reports whether callers should be sent to the balancer. heard is when control last
+// answered it.
+func (b *Balancer) Serving(heard time.Time) bool {
+	if heard.IsZero() {
+		return false
+	}
+	b.mu.Lock()
+	defer b.mu.Unlock()
+	was := !b.reach.lost.IsZero()
+	cut := b.reach.cutOff(b.now(), heard)
+	if cut != was {
+		b.events.change("reach", "cut_off", cut, "control_heard", b.now().Sub(heard))
+	}
+	return !cut
+}
+
 // Hint takes a frame from an agent.
 func (b *Balancer) Hint(raw []byte) {
 	var x fleetwire.Frame
--- a/internal/packet/fleet_test.go
+++ b/internal/packet/fleet_test.go
@@ -273,6 +273,46 @@
 	c.Assert(after.InAim-before.InAim >= asked*97/100, qt.IsTrue, qt.Commentf("%v, before %v", after, before))
 }
 
+// Guards against a balancer that the fabric keeps in rotation while it reaches nothing.
+func TestBalancerCutOff(t *testing.T) {
+	c := qt.New(t)
+	m := newFleet(12)
+	const share, d = 2, 8 * time.Second // two balancers for each zone
+	cfg := load(300, d)
+	cfg.Zone, cfg.Retries = "a", 0
+	m.Load(cfg)
+	m.Run(time.Second)
+	m.Balancers[0].CutOff = true
+	m.Run(5 * time.Second)
+	m.Balancers[0].CutOff = false
+	m.Run(d)
+	check(c, m)
+	// Two seconds are for the fabric's checks and for the balancer's own doubts.
+	c.Assert(m.Stats.Failed < int(2*cfg.PerSecond/share), qt.IsTrue, qt.Commentf("%v", m.Stats))
+
+	before := m.Stats
+	m.Load(cfg)
+	m.Run(d + 3*time.Second)
+	c.Assert(m.Stats.Failed, qt.Equals, before.Failed, qt.Commentf("%v after the cut", m.Stats))
+}
+
+// Guards against balancers that all leave the rotation because control is away while agents
+// can be reached.
+func TestBalancersServeWithoutControl(t *testing.T) {
+	c := qt.New(t)
+	m := newFleet(13)
+	b := m.Balancers[0]
+	m.Run(time.Second)
+	heard := m.Now()
+	m.Load(load(300, 10*time.Second))
+	for range 50 {
+		m.Run(200 * time.Millisecond)
+		c.Assert(b.Serving(heard), qt.IsTrue)
+	}
+	m.Run(3 * time.Second)
+	check(c, m)
+}
+
 // Guards against a target that answers with failures, quickly and with a good report, and so
 // looks like the fastest one: callers do not repeat a request that may have run.
 func TestFailingTargetGetsFewFlows(t *testing.T) {
--- a/standin/model/caller.go
+++ b/standin/model/caller.go
@@ -109,7 +109,7 @@
 	p.Source, p.Destination = c.end, Address
 	var ready []*Balancer
 	for _, b := range c.m.Balancers {
-		if b.Ready && (b.Zone == c.cfg.Zone || c.cfg.Zone == "") {
+		if b.inRotation() && (b.Zone == c.cfg.Zone || c.cfg.Zone == "") {
 			ready = append(ready, b)
 		}
 	}
--- a/standin/model/fleet.go
+++ b/standin/model/fleet.go
@@ -38,6 +38,10 @@
 	pollPeriod   = 100 * time.Millisecond
 	reportPeriod = 770 * time.Millisecond
 	sweepPeriod  = 50 * time.Millisecond
+	// checkPeriod is how often the fabric checks balancers; missLimit is how many misses in
+	// a row take one out of rotation.
+	checkPeriod = 500 * time.Millisecond
+	missLimit   = 2
 )
 
 // Host is an instance with an agent and a target.
@@ -57,14 +61,26 @@
 // Balancer is a balancer of the fleet.
 type Balancer struct {
 	Zone mangokeel.AvailabilityZone
-	// Ready balancers get packets of the callers in their zone.
+	// Ready balancers get packets of the callers in their zone, unless the fabric has taken
+	// them out of rotation.
 	Ready bool
+	// CutOff balancers reach no other node; callers and the fabric's checks reach them.
+	CutOff bool
 
 	address  netip.AddrPort
 	balancer *packet.Balancer
 	view     *fleet.View
+	// heard is when control last answered; misses counts failed checks in a row.
+	heard  time.Time
+	misses int
 }
 
+// Serving asks the balancer whether callers should be sent to it.
+func (b *Balancer) Serving(heard time.Time) bool { return b.balancer.Serving(heard) }
+
+// inRotation reports whether the fabric uses the balancer.
+func (b *Balancer) inRotation() bool { return b.Ready && b.misses < missLimit }
+
 // Fleet is a whole deployment. Its methods are not safe for concurrent use.
 type Fleet struct {
 	Hosts     []*Host
@@ -106,6 +122,7 @@
 	m.Services = []*fleetwire.Service{{Name: "s", Connections: 2000}}
 	m.timers.Every(pollPeriod, func(time.Time) { m.Poll() })
 	m.timers.Every(sweepPeriod, func(time.Time) { m.sweep() })
+	m.timers.Every(checkPeriod, func(time.Time) { m.check() })
 	return m
 }
 
@@ -212,6 +229,7 @@
 	b.balancer = packet.NewBalancer(packet.BalancerConfig{Zone: b.Zone, Hints: b.address}, Codec{}, b.view, balancerLink{m, b},
 		packet.WithClock(m.Now), packet.WithEvents(packet.NewEvents(m.logger(b.address), packet.WithLines(allLines))))
 	m.poll(b.view)
+	b.heard, b.misses = m.Now(), 0
 }
 
 // Freeze stops a node from getting frames, or lets it get them again.
@@ -225,7 +243,21 @@
 		}
 	}
 	for _, b := range m.Balancers {
-		m.poll(b.view)
+		if !b.CutOff {
+			m.poll(b.view)
+			b.heard = m.Now()
+		}
+	}
+}
+
+// check does what the fabric does: it takes balancers out of rotation.
+func (m *Fleet) check() {
+	for _, b := range m.Balancers {
+		if b.balancer.Serving(b.heard) {
+			b.misses = 0
+		} else {
+			b.misses++
+		}
 	}
 }
 
@@ -281,7 +313,7 @@
 		}
 	}
 	for _, x := range m.Balancers {
-		if x.address == to {
+		if x.address == to && !x.CutOff {
 			m.after(m.delay(from, x.Zone), func() { x.balancer.Hint(b) })
 			return
 		}
@@ -300,9 +332,14 @@
 	b *Balancer
 }
 
-func (l balancerLink) Frame(to netip.AddrPort, b []byte) { l.m.frame(l.b.Zone, to, b) }
-func (l balancerLink) Target([]byte)                     {}
-func (l balancerLink) Caller(_ netip.Addr, b []byte)     { l.m.answer(b, true) }
+func (l balancerLink) Frame(to netip.AddrPort, b []byte) {
+	if !l.b.CutOff {
+		l.m.frame(l.b.Zone, to, b)
+	}
+}
+
+func (l balancerLink) Target([]byte)                 {}
+func (l balancerLink) Caller(_ netip.Addr, b []byte) { l.m.answer(b, true) }
 
 type hostLink struct {
 	m *Fleet
