packet: what waited while the process did not run is not taken for new

Cause: after a freeze an agent read opening packets that were seconds old. It opened some, passed the others on and so flooded other agents, and refused what had waited, while copies had opened the flows elsewhere; and the first report of a new incarnation ended flows that this incarnation had accepted before its first report. Flows that a target accepted after its start stay when it reports. The model suspends agents.

--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -57,8 +57,9 @@
 	// opened is the sequence number of the opening packet.
 	opened uint32
 	seen   time.Time
-	// accepted is set once the target has answered the opening packet.
-	accepted bool
+	// accepted is set once the target has answered the opening packet, at acceptedAt.
+	accepted   bool
+	acceptedAt time.Time
 	// busy is set while the caller awaits an answer, since asked.
 	busy  bool
 	asked time.Time
@@ -95,6 +96,7 @@
 	self []byte
 
 	mu    sync.Mutex
+	stall stall
 	flows map[mangokeel.Flow]*entry
 	// offers are packets of unknown flows that the target was asked about.
 	offers  map[mangokeel.Flow]offer
@@ -150,8 +152,14 @@
 		return
 	}
 	f := mangokeel.Flow{Caller: p.Source, Address: p.Destination}
+	late, stale := a.stall.observe(a.now())
 	switch x.GetKind() {
 	case fleetwire.Kind_KIND_OPEN:
+		if stale {
+			a.events.decide(Dropped, f, "reason", "the process did not run", "copy", p.Copy)
+			return
+		}
+		x.Late = x.GetLate() || late
 		a.opening(s, x, f, p, rest)
 	case fleetwire.Kind_KIND_DATA:
 		a.data(s, x, f, p, rest)
@@ -476,7 +484,7 @@
 			return
 		}
 		// The agent started after the flow, or it took the flow for another's.
-		e = &entry{accepted: true}
+		e = &entry{accepted: true, acceptedAt: now}
 		a.flows[f] = e
 		a.open++
 		if x, ok := a.offers[f]; ok {
@@ -486,7 +494,7 @@
 	}
 	e.seen = now
 	if p.Accepting && !e.accepted {
-		e.accepted, e.frame = true, nil
+		e.accepted, e.acceptedAt, e.frame = true, now, nil
 		a.open++
 	}
 	begins := p.Sequence == e.acknowledged
@@ -598,6 +606,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	now := a.now()
+	a.stall.observe(now)
 	a.advance()
 	a.expireQueue(now)
 	idle := a.view.State().Idle
--- a/internal/packet/balancer.go
+++ b/internal/packet/balancer.go
@@ -61,6 +61,7 @@
 	cfg BalancerConfig
 
 	mu    sync.Mutex
+	stall stall
 	hints map[mangokeel.Flow]hint
 	// openings are the flows that were opened within copyWindow.
 	openings map[mangokeel.Flow]opening
@@ -96,9 +97,16 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	late, stale := b.stall.observe(b.now())
 	if p.Opening {
+		if stale {
+			b.events.decide(Dropped, f, "reason", "the process did not run", "copy", p.Copy)
+			return
+		}
 		delete(b.hints, f)
+		b.frame.Late = late
 		b.open(s, route, f, p, raw)
+		b.frame.Late = false
 		return
 	}
 	if _, ok := b.openings[f]; ok && !p.Reset {
@@ -276,6 +284,7 @@
 	b.mu.Lock()
 	defer b.mu.Unlock()
 	now := b.now()
+	b.stall.observe(now)
 	for f, x := range b.hints {
 		if now.Sub(x.seen) > hintLife {
 			delete(b.hints, f)
--- a/internal/packet/fleet_test.go
+++ b/internal/packet/fleet_test.go
@@ -313,6 +313,28 @@
 	check(c, m)
 }
 
+// Guards against flows that an agent opens when its process goes on after a stop: their
+// callers have long opened them elsewhere, or are gone.
+func TestAgentGoesOnAfterAStop(t *testing.T) {
+	c := qt.New(t)
+	m := newFleet(14)
+	h := m.Hosts[0]
+	m.Load(load(400, 6*time.Second))
+	m.Run(time.Second)
+	h.Suspend()
+	held := h.Target.Flows() // their answers cannot come before the deadline
+	m.Run(2 * time.Second)
+	before := len(h.Target.Opened)
+	h.Resume()
+	m.Run(20 * time.Millisecond)
+	// At the load of the others, a target gets at most two flows in 20 ms.
+	c.Assert(len(h.Target.Opened)-before <= 2, qt.IsTrue, qt.Commentf("%d flows were opened", len(h.Target.Opened)-before))
+	m.Run(6 * time.Second)
+	check(c, m)
+	c.Assert(m.Stats.Failed <= held, qt.IsTrue, qt.Commentf("%v, %d flows at the target", m.Stats, held))
+	c.Assert(m.Stats.Resets, qt.Equals, 0, qt.Commentf("%v", m.Stats))
+}
+
 // Guards against a target that answers with failures, quickly and with a good report, and so
 // looks like the fastest one: callers do not repeat a request that may have run.
 func TestFailingTargetGetsFewFlows(t *testing.T) {
--- a/internal/packet/gate.go
+++ b/internal/packet/gate.go
@@ -183,7 +183,7 @@
 		return false
 	default:
 		a.events.change("target started again", "id", r.ID, "before", g.id, "flows", a.open)
-		a.endAll()
+		a.endBefore(now.Add(-max(0, now.Sub(r.Born))))
 		for _, f := range a.ends {
 			a.end(f, "target started again")
 		}
@@ -211,14 +211,16 @@
 	}
 	a.events.change("target ends", "id", id, "flows", a.open)
 	a.gate.ready, a.gate.gone = false, true
-	a.endAll()
+	a.endBefore(a.now())
 	a.endAt = a.now().Add(endGrace)
 }
 
-// endAll notes the flows to reset.
-func (a *Agent) endAll() {
+// endBefore notes the flows to reset: those that the target accepted before t. An incarnation
+// may accept flows before its first report. If its clock is wrong and flows of an earlier
+// incarnation stay, the target returns their next packets.
+func (a *Agent) endBefore(t time.Time) {
 	for f, e := range a.flows {
-		if e.local() {
+		if e.local() && !e.acceptedAt.After(t) {
 			a.ends = append(a.ends, f)
 		}
 	}
--- a/internal/packet/place.go
+++ b/internal/packet/place.go
@@ -356,13 +356,13 @@
 	return known >= slowLeast && 2*faster > known
 }
 
-// refuse tells the caller that a flow was not opened. A copy of an opening packet is
-// dropped instead, since the first one may have been taken, and so is a packet that others
+// refuse tells the caller that a flow was not opened. A copy of an opening packet and a late
+// one are dropped instead, since another may have been taken, and so is a packet that others
 // may take whom this agent does not know yet: the caller's next copy finds them.
 func (a *Agent) refuse(x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, reason string) {
 	a.events.decide(Refused, f, "reason", reason, "service", x.GetService(), "revision", x.GetRevision(),
 		"asked", len(x.GetPassed())+1, "busy", a.busy, "slots", a.gate.slots, "copy", p.Copy)
-	if p.Copy == 0 && a.view.State().Settled(a.now()) {
+	if p.Copy == 0 && !x.GetLate() && a.view.State().Settled(a.now()) {
 		a.link.Caller(f.Caller.Addr(), a.codec.Reset(p))
 	}
 }
--- a/internal/packet/queue.go
+++ b/internal/packet/queue.go
@@ -106,6 +106,7 @@
 // advance gives waiting packets to the target while it takes them.
 func (a *Agent) advance() {
 	s := a.view.State()
+	a.dropLate(a.now())
 	for len(a.queue.list) > 0 {
 		w := a.queue.list[0]
 		service, ok := a.choose(s, w.frame, w.flow)
@@ -123,6 +124,14 @@
 	}
 }
 
+// dropLate drops what has waited far too long because the process did not run.
+func (a *Agent) dropLate(now time.Time) {
+	for _, w := range a.queue.expired(now.Add(-lateTime)) {
+		w.frame.Late = true
+		a.refuse(w.frame, w.flow, w.packet, "the process did not run")
+	}
+}
+
 // expireQueue refuses what has waited long enough.
 func (a *Agent) expireQueue(now time.Time) {
 	for _, w := range a.queue.expired(now) {
