--- /dev/null
+++ b/internal/packet/matrix_test.go
@@ -0,0 +1,149 @@
+package packet_test
+
+import (
+	"math/rand/v2"
+	"testing"
+	"time"
+
+	qt "github.com/frankban/quicktest"
+
+	"mangokeel"
+)
+
+// change is a planned change: a list of steps, matrixStep apart.
+type change struct {
+	name  string
+	steps []func(s *soak)
+}
+
+// fault breaks something and returns what ends it.
+type fault struct {
+	name  string
+	begin func(s *soak) (end func())
+}
+
+const (
+	matrixStep  = 200 * time.Millisecond
+	faultTime   = 900 * time.Millisecond
+	matrixSteps = 5
+)
+
+func changes() []change {
+	restart := func(i int) func(s *soak) {
+		return func(s *soak) {
+			b := s.Balancers[i]
+			b.Ready = false
+			s.After(matrixStep, func() { s.Restart(b); b.Ready = true })
+		}
+	}
+	return []change{
+		{"balancers restart", []func(*soak){restart(0), restart(1), restart(2), restart(3), restart(4)}},
+		{"agents restart", []func(*soak){
+			func(s *soak) { s.Hosts[0].StartAgent() },
+			func(s *soak) { s.Hosts[1].StartAgent() },
+			func(s *soak) { s.Hosts[2].StartAgent() },
+		}},
+		{"targets are replaced", []func(*soak){
+			func(s *soak) { s.AddHost("a", target) },
+			func(s *soak) { s.Hosts[0].Target.Draining = true; s.Hosts[0].Report() },
+			func(s *soak) { s.AddHost("b", target) },
+			func(s *soak) { s.Hosts[1].Target.Draining = true; s.Hosts[1].Report() },
+		}},
+		{"a zone goes out and comes back", []func(*soak){
+			func(s *soak) { s.setZone("a", true) },
+			func(*soak) {},
+			func(*soak) {},
+			func(s *soak) { s.setZone("a", false) },
+		}},
+		{"control changes its leader", []func(*soak){
+			func(s *soak) { s.Complete = false },
+			func(*soak) {},
+			func(*soak) {},
+			func(s *soak) { s.Complete = true },
+		}},
+	}
+}
+
+func faults() []fault {
+	return []fault{
+		{"none", func(*soak) func() { return func() {} }},
+		{"an agent dies", func(s *soak) func() {
+			s.Hosts[3].StopAgent()
+			return s.Hosts[3].StartAgentIfStopped
+		}},
+		{"an agent stops and goes on", func(s *soak) func() {
+			s.Hosts[3].Suspend()
+			return s.Hosts[3].Resume
+		}},
+		{"an agent gets no frames", func(s *soak) func() {
+			s.Freeze(s.Hosts[3].Agent, true)
+			return func() { s.Freeze(s.Hosts[3].Agent, false) }
+		}},
+		{"a balancer is cut off", func(s *soak) func() {
+			s.Balancers[5].CutOff = true
+			return func() { s.Balancers[5].CutOff = false }
+		}},
+		{"frames are lost", func(s *soak) func() {
+			s.Loss = 0.1
+			return func() { s.Loss = 0 }
+		}},
+		{"a target starts again", func(s *soak) func() {
+			s.Hosts[4].StartTarget(target)
+			s.Hosts[4].Report()
+			return func() {}
+		}},
+		{"a target is slow", func(s *soak) func() {
+			s.Hosts[4].Target.Factor = 5
+			return func() { s.Hosts[4].Target.Factor = 0 }
+		}},
+		{"a target fails requests", func(s *soak) func() {
+			s.Hosts[4].Target.FailShare = 1
+			return func() { s.Hosts[4].Target.FailShare = 0 }
+		}},
+	}
+}
+
+// Guards against a fault at any step of a planned change that ends a living flow, opens one in
+// a zone that is out, or leaves the fleet unable to serve.
+func TestFaultAtEachStep(t *testing.T) {
+	for _, x := range changes() {
+		for _, y := range faults() {
+			t.Run(x.name+"/"+y.name, func(t *testing.T) {
+				for at := range matrixSteps {
+					s := &soak{
+						Fleet: newFleet(uint64(at)), c: qt.New(t), r: rand.New(rand.NewPCG(uint64(at), 2)),
+						out: map[mangokeel.AvailabilityZone]time.Time{}, back: map[mangokeel.AvailabilityZone]time.Time{},
+						log: []string{x.name, y.name},
+					}
+					s.cell(x, y, at)
+				}
+			})
+		}
+	}
+}
+
+// cell makes a change with a fault that begins at one of its steps.
+func (s *soak) cell(x change, y fault, at int) {
+	short, long := load(150, 3*time.Second), load(15, 2*time.Second)
+	long.Requests, long.Pause = 10, 200*time.Millisecond
+	s.Load(short)
+	s.Load(long)
+	s.Run(500 * time.Millisecond)
+	for i := range matrixSteps {
+		if i == at {
+			end := y.begin(s)
+			s.After(faultTime, end)
+		}
+		if i < len(x.steps) {
+			x.steps[i](s)
+		}
+		s.Run(matrixStep)
+		s.checkZones()
+	}
+	s.Run(2 * faultTime)
+	s.Run(5 * time.Second)
+	note := qt.Commentf("fault at step %d: %v", at, s.Stats)
+	s.c.Assert(s.Faults(), qt.HasLen, 0, note)
+	s.c.Assert(s.Stats.Broken, qt.Equals, 0, note)
+	s.served()
+}
