packet: a repeated packet of an answered request is no work

Ruled out: ignoring data until the last answer is acknowledged, since packets of one request come in any order. Change: an agent remembers the highest number that the data of a flow had; data that is not above it counts only while a request is under way. The model numbers its requests. Also: the load is written and read field by field; balancers pass on lateness as a parameter.

--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -65,8 +65,11 @@
 	asked time.Time
 	// ahead is the target's work for each slot when the request came, this one included.
 	ahead float64
-	// requested is set once the caller has sent data.
+	// requested is set once the caller has sent data; sent is the highest number that its
+	// data had, and valid once anySent is set.
 	requested bool
+	sent      uint32
+	anySent   bool
 	// awaiting is set from a request until the beginning of its answer. Packets may arrive
 	// in another order than they were sent, so that others may come first.
 	awaiting bool
@@ -291,7 +294,7 @@
 // asked notes what the caller sent.
 func (a *Agent) asked(e *entry, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
 	e.acknowledged = p.Acknowledged
-	if p.Size > 0 && !e.closed {
+	if p.Size > 0 && !e.closed && e.news(p) {
 		if !e.busy || !e.requested {
 			a.events.decide(Asked, f, "request", lazyRequest{a.codec, raw}, "busy", a.busy, "slots", a.gate.slots)
 		}
@@ -305,6 +308,16 @@
 	}
 }
 
+// news reports whether data of the caller belongs to a request that is not answered yet, and
+// is no repetition of an earlier one.
+func (e *entry) news(p mangokeel.Packet) bool {
+	newer := !e.anySent || int32(p.Sequence-e.sent) > 0
+	if newer {
+		e.sent, e.anySent = p.Sequence, true
+	}
+	return newer || e.requested
+}
+
 // unanswered notes that a request of a flow ends without an answer, if one is under way.
 func (a *Agent) unanswered(e *entry, f mangokeel.Flow, reason string) {
 	if e.awaiting {
--- a/internal/packet/agent_test.go
+++ b/internal/packet/agent_test.go
@@ -350,3 +350,26 @@
 		c.Assert(n.resets, qt.HasLen, x.resets, qt.Commentf("%v", x.stopped))
 	}
 }
+
+// Guards against a repeated packet of an answered request that counts as work in progress, or
+// as a request that the caller gives up with its last packet.
+func TestRepeatedRequestIsNoWork(t *testing.T) {
+	c := qt.New(t)
+	n := newNode(c, reply(5, "s"))
+	load := func() *fleetwire.Load { return n.agent.Announcement().GetLoad() }
+	n.frame(open(5))
+	n.answer(mangokeel.Packet{Accepting: true})
+	n.data(mangokeel.Packet{Sequence: 1300, Size: 100}) // the second packet comes first
+	n.data(mangokeel.Packet{Sequence: 100, Size: 1200})
+	c.Assert(load().GetBusy(), qt.Equals, uint32(1))
+	n.answer(mangokeel.Packet{Size: 100})
+	n.data(mangokeel.Packet{Sequence: 100, Size: 1200})
+	n.data(mangokeel.Packet{Sequence: 1300, Size: 100})
+	c.Assert(load().GetBusy(), qt.Equals, uint32(0))
+	n.data(mangokeel.Packet{Sequence: 1400, Size: 100})
+	c.Assert(load().GetBusy(), qt.Equals, uint32(1))
+	n.answer(mangokeel.Packet{Size: 100})
+	n.data(mangokeel.Packet{Sequence: 1400, Size: 100})
+	n.data(mangokeel.Packet{Sequence: 1500, Final: true})
+	c.Assert(load().GetFailing(), qt.Equals, uint32(0))
+}
--- a/internal/packet/balancer.go
+++ b/internal/packet/balancer.go
@@ -104,9 +104,7 @@
 			return
 		}
 		delete(b.hints, f)
-		b.frame.Late = late
-		b.open(s, route, f, p, raw)
-		b.frame.Late = false
+		b.open(s, route, f, p, late, raw)
 		return
 	}
 	if _, ok := b.openings[f]; ok && !p.Reset {
@@ -128,7 +126,7 @@
 }
 
 // open hands an opening packet to the flow's directory.
-func (b *Balancer) open(s *fleet.State, route *fleet.Route, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
+func (b *Balancer) open(s *fleet.State, route *fleet.Route, f mangokeel.Flow, p mangokeel.Packet, late bool, raw []byte) {
 	h := hashOf(f)
 	service := route.Choose(h)
 	b.order = s.Order(b.order[:0], service, b.cfg.Zone, h)
@@ -158,7 +156,9 @@
 		b.hints[f] = hint{to.Agent, now}
 		b.events.decide(Bypassed, f, "first", first.Agent, "to", to.Agent, "copy", p.Copy)
 	}
+	b.frame.Late = late
 	b.send(to.Agent, fleetwire.Kind_KIND_OPEN, s.Revision, service, raw)
+	b.frame.Late = false
 }
 
 // heard returns the first target in the order whose agent does not count as silent, or
@@ -238,8 +238,8 @@
 	b.link.Frame(to, out)
 }
 
-// Serving reports whether callers should be sent to the balancer. heard is when control last
-// answered it.
+// Serving reports whether callers should be sent to the balancer: it has had a state, and it
+// is not cut off from both control and the agents. heard is when control last answered it.
 func (b *Balancer) Serving(heard time.Time) bool {
 	if heard.IsZero() {
 		return false
--- a/internal/packet/place.go
+++ b/internal/packet/place.go
@@ -155,9 +155,18 @@
 	return max(0, left) * (e.busy + e.placed)
 }
 
+// thousandths is the unit of fleetwire.Load.Failing.
+const thousandths = 1000
+
 // load returns what this agent tells of its target.
 func (a *Agent) load() *fleetwire.Load {
-	return &fleetwire.Load{Busy: uint32(max(0, a.busy) + len(a.queue.list)), Flows: uint32(max(0, a.open)), Slots: uint32(a.gate.slots), ServiceUs: uint32(min(a.service.mean/float64(time.Microsecond), math.MaxUint32)), Failing: uint32(1000 * a.service.failures(a.now()))}
+	return &fleetwire.Load{
+		Busy:      uint32(max(0, a.busy) + len(a.queue.list)),
+		Flows:     uint32(max(0, a.open)),
+		Slots:     uint32(a.gate.slots),
+		ServiceUs: uint32(min(a.service.mean/float64(time.Microsecond), math.MaxUint32)),
+		Failing:   uint32(thousandths * a.service.failures(a.now())),
+	}
 }
 
 // learn takes over what the sender of a frame says of its load.
@@ -174,7 +183,12 @@
 		from = fleetwire.ParseAddress(passed[len(passed)-1])
 	}
 	if from.IsValid() {
-		a.loads[from] = &estimate{busy: float64(l.GetBusy()), service: time.Duration(l.GetServiceUs()) * time.Microsecond, failing: float64(l.GetFailing()) / 1000, at: a.now()}
+		a.loads[from] = &estimate{
+			busy:    float64(l.GetBusy()),
+			service: time.Duration(l.GetServiceUs()) * time.Microsecond,
+			failing: float64(l.GetFailing()) / thousandths,
+			at:      a.now(),
+		}
 	}
 }
 
--- a/standin/model/caller.go
+++ b/standin/model/caller.go
@@ -131,7 +131,7 @@
 		if c.done || !c.awaiting || c.asks != n {
 			return
 		}
-		c.send(mangokeel.Packet{Sequence: c.number + 1, Acknowledged: c.server, Size: 100})
+		c.send(mangokeel.Packet{Sequence: c.number + uint32(n), Acknowledged: c.server, Size: 100})
 		c.m.after(d, func() { try(2 * d) })
 	}
 	try(resend)
