--- a/standin/model/fleet.go
+++ b/standin/model/fleet.go
@@ -266,9 +266,7 @@
 // Poll brings all nodes up to date now.
 func (m *Fleet) Poll() {
 	for _, h := range m.Hosts {
-		if h.agent != nil {
-			m.poll(h.view)
-		}
+		h.reach(func() { m.poll(h.view) })
 	}
 	for _, b := range m.Balancers {
 		if !b.CutOff {
