packet: the soak on virtual time also in a fleet of several times the size

Cause: the soak had seven targets only, and the deployments have grown to 42 and more (docs/ unproved.md). Change: TestSoakLarge with 42 targets, 19 balancers and four zones; make fleetsoak runs both and no longer hides its verdict behind grep.

--- a/Makefile
+++ b/Makefile
@@ -6,6 +6,7 @@
 SEED ?= 1
 DURATION ?= 60
 SOAK ?= 200
+LARGE ?= 20
 
 .PHONY: all build test check fmt lint unit generate demo soak fleetsoak faults measure bench clean
 
@@ -40,13 +41,13 @@
 demo: build
 	bash standin/demo.sh $(BIN)
 
-# soak runs random faults against real processes: make soak SEED=1 DURATION=60
-# With OUT=DIR it keeps the callers' reports in DIR and writes plots and a page there.
-# fleetsoak runs random faults against balancers and agents on virtual time:
-# make fleetsoak SEED=1 SOAK=200
+# fleetsoak runs random faults against balancers and agents on virtual time, with SOAK seeds
+# of a small and LARGE seeds of a large fleet: make fleetsoak SEED=1 SOAK=200 LARGE=20
 fleetsoak:
-	SEED=$(SEED) SOAK=$(SOAK) $(GO) test ./internal/packet -count=1 -run TestSoak -v | grep -v "msg="
+	SEED=$(SEED) SOAK=$(SOAK) LARGE=$(LARGE) $(GO) test ./internal/packet -count=1 -timeout 60m -run TestSoak
 
+# soak runs random faults against real processes: make soak SEED=1 DURATION=60
+# With OUT=DIR it keeps the callers' reports in DIR and writes plots and a page there.
 soak: build
 	OUT='$(OUT)' bash standin/soak.sh $(BIN) $(DURATION) $(SEED)
 
--- a/internal/packet/fleet_test.go
+++ b/internal/packet/fleet_test.go
@@ -18,17 +18,34 @@
 	fresh  = model.LoadConfig{Aim: 100 * time.Millisecond, Deadline: 1500 * time.Millisecond, Retries: 2}
 )
 
-// newFleet returns seven targets and six balancers in three zones.
-func newFleet(seed uint64) *model.Fleet {
+// size is that of a fleet, and the requests a second that callers begin.
+type size struct {
+	hosts, balancers, zones int
+	perSecond               float64
+}
+
+var (
+	small = size{hosts: 7, balancers: 6, zones: 3, perSecond: 150}
+	large = size{hosts: 42, balancers: 19, zones: 4, perSecond: 900}
+)
+
+func (s size) zone(i int) mangokeel.AvailabilityZone {
+	return [...]mangokeel.AvailabilityZone{"a", "b", "c", "d"}[i%s.zones]
+}
+
+// newFleet returns a small fleet.
+func newFleet(seed uint64) *model.Fleet { return newFleetOf(small, seed) }
+
+func newFleetOf(s size, seed uint64) *model.Fleet {
 	m := model.NewFleet(seed)
 	if testing.Verbose() {
 		m.Logger = log.NewLogfmtLogger(os.Stdout)
 	}
-	for i := range 7 {
-		m.AddHost(zoneOf(i), target)
+	for i := range s.hosts {
+		m.AddHost(s.zone(i), target)
 	}
-	for i := range 6 {
-		m.AddBalancer(zoneOf(i))
+	for i := range s.balancers {
+		m.AddBalancer(s.zone(i))
 	}
 	m.Run(2 * time.Second) // all nodes are settled
 	return m
@@ -110,7 +127,7 @@
 	m.Load(cfg)
 	for i := range 5 {
 		m.Run(time.Second)
-		m.AddHost(zoneOf(i), target)
+		m.AddHost(small.zone(i), target)
 	}
 	m.Run(20 * time.Second)
 	check(c, m)
@@ -411,10 +428,6 @@
 	c.Assert(m.Stats.Failed <= m.Stats.Asked/50, qt.IsTrue, qt.Commentf("%v", m.Stats))
 }
 
-func zoneOf(i int) mangokeel.AvailabilityZone {
-	return [...]mangokeel.AvailabilityZone{"a", "b", "c"}[i%3]
-}
-
 // Guards against lasting overload in which everyone is served late: what the targets can do
 // must be spent on requests that are answered within their target time. Load pattern: a third
 // more than the capacity for five seconds.
@@ -435,10 +448,10 @@
 	c := qt.New(t)
 	m := model.NewFleet(16)
 	for i := range 42 {
-		m.AddHost(zoneOf(i), target)
+		m.AddHost(small.zone(i), target)
 	}
 	for i := range 12 {
-		m.AddBalancer(zoneOf(i))
+		m.AddBalancer(small.zone(i))
 	}
 	m.Run(2 * time.Second)
 	m.Load(load(2200, 9*time.Second))
--- a/internal/packet/matrix_test.go
+++ b/internal/packet/matrix_test.go
@@ -1,13 +1,10 @@
 package packet_test
 
 import (
-	"math/rand/v2"
 	"testing"
 	"time"
 
 	qt "github.com/frankban/quicktest"
-
-	"mangokeel"
 )
 
 // change is a planned change: a list of steps, matrixStep apart.
@@ -110,11 +107,8 @@
 		for _, y := range faults() {
 			t.Run(x.name+"/"+y.name, func(t *testing.T) {
 				for at := range matrixSteps {
-					s := &soak{
-						Fleet: newFleet(uint64(at)), c: qt.New(t), r: rand.New(rand.NewPCG(uint64(at), 2)),
-						out: map[mangokeel.AvailabilityZone]time.Time{}, back: map[mangokeel.AvailabilityZone]time.Time{},
-						log: []string{x.name, y.name},
-					}
+					s := newSoak(t, small, uint64(at))
+					s.log = []string{x.name, y.name}
 					s.cell(x, y, at)
 				}
 			})
--- a/internal/packet/soak_test.go
+++ b/internal/packet/soak_test.go
@@ -17,8 +17,9 @@
 // soak is a fleet with random faults.
 type soak struct {
 	*model.Fleet
-	c *qt.C
-	r *rand.Rand
+	size size
+	c    *qt.C
+	r    *rand.Rand
 	// out is when each zone was taken out; back when it returned.
 	out, back map[mangokeel.AvailabilityZone]time.Time
 	log       []string
@@ -28,17 +29,22 @@
 // be, or leaves the fleet unable to serve. SOAK is the number of seeds, SEED the first one:
 //
 //	SEED=17 SOAK=1 go test ./internal/packet -run TestSoak -v
-func TestSoak(t *testing.T) {
-	first, n := number("SEED", 1), number("SOAK", 12)
+func TestSoak(t *testing.T) { soakAll(t, small, number("SOAK", 12)) }
+
+// Guards against the same in a fleet of several times the size. LARGE is the number of seeds.
+func TestSoakLarge(t *testing.T) { soakAll(t, large, number("LARGE", 1)) }
+
+func soakAll(t *testing.T, size size, n int) {
+	first := number("SEED", 1)
 	for seed := first; seed < first+n; seed++ {
-		t.Run(strconv.Itoa(seed), func(t *testing.T) {
-			c := qt.New(t)
-			s := &soak{
-				Fleet: newFleet(uint64(seed)), c: c, r: rand.New(rand.NewPCG(uint64(seed), 1)),
-				out: map[mangokeel.AvailabilityZone]time.Time{}, back: map[mangokeel.AvailabilityZone]time.Time{},
-			}
-			s.run()
-		})
+		t.Run(strconv.Itoa(seed), func(t *testing.T) { newSoak(t, size, uint64(seed)).run() })
+	}
+}
+
+func newSoak(t *testing.T, size size, seed uint64) *soak {
+	return &soak{
+		Fleet: newFleetOf(size, seed), size: size, c: qt.New(t), r: rand.New(rand.NewPCG(seed, 1)),
+		out: map[mangokeel.AvailabilityZone]time.Time{}, back: map[mangokeel.AvailabilityZone]time.Time{},
 	}
 }
 
@@ -51,7 +57,7 @@
 
 func (s *soak) run() {
 	const steps = 30
-	short, long := load(150, steps*400*time.Millisecond), load(15, steps*300*time.Millisecond)
+	short, long := load(s.size.perSecond, steps*400*time.Millisecond), load(s.size.perSecond/10, steps*300*time.Millisecond)
 	long.Requests, long.Pause = 15, 300*time.Millisecond
 	s.Load(short)
 	s.Load(long)
@@ -96,17 +102,15 @@
 		h.Report()
 	case 5:
 		name = "host joins"
-		if len(s.Hosts) < 14 {
-			s.AddHost(zoneOf(s.r.IntN(3)), target)
+		if len(s.Hosts) < 2*s.size.hosts {
+			s.AddHost(s.size.zone(s.r.IntN(s.size.zones)), target)
 		}
 	case 6:
 		name = "zone out"
-		s.setZone(zoneOf(s.r.IntN(3)), true)
+		s.setZone(s.size.zone(s.r.IntN(s.size.zones)), true)
 	case 7:
 		name = "zones back"
-		for _, z := range []mangokeel.AvailabilityZone{"a", "b", "c"} {
-			s.setZone(z, false)
-		}
+		s.zonesBack()
 	case 8:
 		name = "frames are lost"
 		s.Loss = 0.1 * s.r.Float64()
@@ -150,6 +154,12 @@
 	s.note(z, true)
 }
 
+func (s *soak) zonesBack() {
+	for i := range s.size.zones {
+		s.setZone(s.size.zone(i), false)
+	}
+}
+
 func (s *soak) note(z mangokeel.AvailabilityZone, out bool) {
 	s.Poll()
 	if out {
@@ -173,9 +183,7 @@
 
 // heal ends all faults.
 func (s *soak) heal() {
-	for _, z := range []mangokeel.AvailabilityZone{"a", "b", "c"} {
-		s.setZone(z, false)
-	}
+	s.zonesBack()
 	s.Loss, s.Complete = 0, true
 	for _, h := range s.Hosts {
 		h.Resume()
@@ -192,7 +200,7 @@
 // served asserts that a healed fleet serves everything.
 func (s *soak) served() {
 	before := s.Stats
-	s.Load(load(150, 3*time.Second))
+	s.Load(load(s.size.perSecond, 3*time.Second))
 	s.Run(6 * time.Second)
 	asked, inAim := s.Stats.Asked-before.Asked, s.Stats.InAim-before.InAim
 	s.c.Assert(inAim >= asked*97/100, qt.IsTrue, qt.Commentf("%d of %d in aim after %v", inAim, asked, s.log))
