fleet: the membership test waits until all instances agree

It took 10.99 s in all, so that "removal" of the fourth voter was seen within a second, though a voter is removed after 2.5 s of silence: the test asked one instance, and one that lagged still had the three voters of before. Then two of four voters were stopped, which no majority survives. Change: voters counts only what all running instances agree on, and the test waits for the end of each replacement before it stops the next instance: the second loss comes after the repair.

--- a/internal/fleet/cluster_test.go
+++ b/internal/fleet/cluster_test.go
@@ -131,13 +131,23 @@
 	return version
 }
 
-func (x *cluster) voters() (n int) {
-	for _, m := range x.any(netip.AddrPort{}).node.Members() {
-		if m.Voter {
-			n++
+// voters returns how many voters all running instances know of, or -1 while they differ: one
+// that lags still has the members of before.
+func (x *cluster) voters() int {
+	all := -1
+	for _, i := range x.running {
+		n := 0
+		for _, m := range i.node.Members() {
+			if m.Voter {
+				n++
+			}
+		}
+		if all >= 0 && n != all {
+			return -1
 		}
+		all = n
 	}
-	return n
+	return all
 }
 
 // Guards against a deployment that needs an operator to name control's members: instances
@@ -162,6 +172,7 @@
 		x.wipe(lost)
 		x.start(lost, false)
 		x.eventually("replacement", func() bool { return x.running[lost].node.Status().Voter })
+		x.eventually("end of the replacement", func() bool { return x.voters() == 3 })
 		x.eventually("read at the new instance", func() bool { return x.read(x.running[lost]) == version })
 	}
 }
