jsonrpc, fleet: shared calls and methods; polls without news cost less

- fleet.callOrDrop and replica.Node.call did the same: jsonrpc.CallOrDrop.
- fleet.Server.Methods spelled out what control has a generic function for: jsonrpc.NewMethod, which control wraps too.
- Follower and Joiner read lists of members alike: addresses. awaitLeader waits with Server.pause.
Desired notifies in one place.
- registry.since looked at every record for each poll; most polls end without news.
Behaviour is the same.
Tests of fleet, jsonrpc, replica, control and platform pass.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -160,24 +160,15 @@
 	}
 }
 
-// message is implemented by pointers to wire messages.
-type message[T any] interface {
-	*T
-	proto.Message
-}
-
 // method wraps a typed handler.
-func method[Q any, P message[Q], R proto.Message](c *Control, name string, fn func(context.Context, P) (R, error)) jsonrpc.Method {
-	return jsonrpc.Method{
-		New: func() proto.Message { return P(new(Q)) },
-		Handle: func(ctx context.Context, req proto.Message) (proto.Message, error) {
-			c.metrics.calls.WithLabelValues(name).Inc()
-			ctx, cancel := context.WithCancel(ctx)
-			defer cancel()
-			defer context.AfterFunc(c.ctx, cancel)()
-			return fn(ctx, req.(P))
-		},
-	}
+func method[Q any, P jsonrpc.Request[Q], R proto.Message](c *Control, name string, fn func(context.Context, P) (R, error)) jsonrpc.Method {
+	return jsonrpc.NewMethod(func(ctx context.Context, req P) (R, error) {
+		c.metrics.calls.WithLabelValues(name).Inc()
+		ctx, cancel := context.WithCancel(ctx)
+		defer cancel()
+		defer context.AfterFunc(c.ctx, cancel)()
+		return fn(ctx, req)
+	})
 }
 
 // current reports whether a majority confirmed this instance's state recently.
--- a/internal/fleet/desired.go
+++ b/internal/fleet/desired.go
@@ -133,6 +133,10 @@
 
 func (m *Desired) advance(r mangokeel.Revision) {
 	m.state.Revision = uint64(r)
+	m.notify()
+}
+
+func (m *Desired) notify() {
 	close(m.changed)
 	m.changed = make(chan struct{})
 }
@@ -153,8 +157,7 @@
 	m.mu.Lock()
 	defer m.mu.Unlock()
 	m.state = s
-	close(m.changed)
-	m.changed = make(chan struct{})
+	m.notify()
 	return nil
 }
 
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -13,6 +13,7 @@
 
 	"mangokeel"
 	"mangokeel/internal/fleetwire"
+	"mangokeel/internal/jsonrpc"
 	"mangokeel/internal/wire"
 )
 
@@ -164,7 +165,7 @@
 	f.mu.Unlock()
 	req.Announcement = f.announce()
 	var out fleetwire.PollReply
-	err := callOrDrop(ctx, f.remote, addr, "poll", req, &out)
+	err := jsonrpc.CallOrDrop(ctx, f.remote, addr, "poll", req, &out)
 	if err == nil && len(out.GetPacked()) > 0 {
 		err = wire.Unpack(out.GetPacked(), &out)
 	}
@@ -188,7 +189,7 @@
 	ctx, cancel := context.WithTimeout(f.ctx, f.patience)
 	defer cancel()
 	var out fleetwire.PollReply
-	err := callOrDrop(ctx, f.remote, addr, "poll", &fleetwire.PollRequest{Node: f.node, Search: true}, &out)
+	err := jsonrpc.CallOrDrop(ctx, f.remote, addr, "poll", &fleetwire.PollRequest{Node: f.node, Search: true}, &out)
 	switch {
 	case err != nil:
 		f.lost(addr, err)
@@ -196,7 +197,7 @@
 			f.patience = min(2*f.patience, callTimeout)
 		}
 	case out.GetLeading():
-		f.learn(&out)
+		f.known = addresses(out.GetMembers())
 		f.leader = addr
 	default:
 		f.redirected(addr, &out)
@@ -240,7 +241,7 @@
 }
 
 func (f *Follower) redirected(addr netip.AddrPort, out *fleetwire.PollReply) {
-	f.learn(out)
+	f.known = addresses(out.GetMembers())
 	f.leader = netip.AddrPort{}
 	named, err := netip.ParseAddrPort(out.GetLeader())
 	if err != nil || named == addr {
@@ -254,18 +255,9 @@
 	}
 }
 
-func (f *Follower) learn(out *fleetwire.PollReply) {
-	f.known = f.known[:0]
-	for _, m := range out.GetMembers() {
-		if a, err := netip.ParseAddrPort(m); err == nil {
-			f.known = append(f.known, a)
-		}
-	}
-}
-
 // took applies a leader's answer.
 func (f *Follower) took(addr netip.AddrPort, req *fleetwire.PollRequest, out *fleetwire.PollReply) {
-	f.learn(out)
+	f.known = addresses(out.GetMembers())
 	if !f.connected {
 		_ = level.Info(f.logger).Log("msg", "control reached", "at", addr, "revision", out.GetDesired(), "targets", len(out.GetAnnouncements()))
 	}
@@ -284,3 +276,13 @@
 	}
 	f.mu.Unlock()
 }
+
+// addresses returns those of a list of members that can be read.
+func addresses(members []string) (list []netip.AddrPort) {
+	for _, m := range members {
+		if a, err := netip.ParseAddrPort(m); err == nil {
+			list = append(list, a)
+		}
+	}
+	return list
+}
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -12,6 +12,7 @@
 
 	"mangokeel"
 	"mangokeel/internal/fleetwire"
+	"mangokeel/internal/jsonrpc"
 	"mangokeel/internal/replica"
 )
 
@@ -31,7 +32,7 @@
 )
 
 // join notes that an instance wants to become a voter.
-func (s *Server) join(r *fleetwire.JoinRequest) (*fleetwire.JoinReply, error) {
+func (s *Server) join(_ context.Context, r *fleetwire.JoinRequest) (*fleetwire.JoinReply, error) {
 	addr, err := netip.ParseAddrPort(r.GetAddress())
 	if err != nil {
 		return nil, errors.Newf("address %q is not an IP address and port", r.GetAddress())
@@ -234,22 +235,17 @@
 	defer cancel()
 	req := &fleetwire.JoinRequest{Id: id, Address: c.self.String()}
 	var out fleetwire.JoinReply
-	if err := callOrDrop(ctx, c.remote, addr, "join", req, &out); err != nil {
+	if err := jsonrpc.CallOrDrop(ctx, c.remote, addr, "join", req, &out); err != nil {
 		_ = level.Debug(c.logger).Log("msg", "not admitted", "at", addr, "err", err)
 		return
 	}
-	c.known = c.known[:0]
-	for _, m := range out.GetMembers() {
-		if a, err := netip.ParseAddrPort(m); err == nil {
-			c.known = append(c.known, a)
-		}
-	}
+	c.known = addresses(out.GetMembers())
 	leader, err := netip.ParseAddrPort(out.GetLeader())
 	if err != nil || leader == addr || leader == c.self || out.GetVoter() {
 		return
 	}
 	// Only the leader decides.
-	if err := callOrDrop(ctx, c.remote, leader, "join", req, &out); err != nil {
+	if err := jsonrpc.CallOrDrop(ctx, c.remote, leader, "join", req, &out); err != nil {
 		_ = level.Debug(c.logger).Log("msg", "not admitted", "at", leader, "err", err)
 	}
 }
--- a/internal/fleet/join_test.go
+++ b/internal/fleet/join_test.go
@@ -102,7 +102,7 @@
 			s := NewServer(NewDesired(), &fixedLog{x.members, x.silent}, nil, WithServerTimers(timers), WithLosses(1))
 			defer s.Close()
 			for n, id := range x.asking {
-				_, err := s.join(&fleetwire.JoinRequest{Id: id, Address: addr(n).String()})
+				_, err := s.join(context.Background(), &fleetwire.JoinRequest{Id: id, Address: addr(n).String()})
 				c.Assert(err, qt.IsNil)
 			}
 			c.Assert(s.decide(x.members), qt.Equals, x.want)
@@ -120,6 +120,6 @@
 	c := qt.New(t)
 	s := NewServer(NewDesired(), &fixedLog{}, nil, WithServerTimers(timer.NewVirtual(time.Now())), WithServerLogger(log.NewNopLogger()))
 	defer s.Close()
-	_, err := s.join(&fleetwire.JoinRequest{Id: "x", Address: "nowhere"})
+	_, err := s.join(context.Background(), &fleetwire.JoinRequest{Id: "x", Address: "nowhere"})
 	c.Assert(err, qt.ErrorMatches, `address "nowhere" is not.*`)
 }
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -154,6 +154,9 @@
 	if out.GetAll() {
 		revision = 0
 	}
+	if revision == g.revision {
+		return // most polls end without news
+	}
 	for _, r := range g.records {
 		if r.revision > revision {
 			out.Announcements = append(out.Announcements, r.a)
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -146,24 +146,9 @@
 // Methods returns the calls of nodes and of other control instances.
 func (s *Server) Methods() jsonrpc.Methods {
 	return jsonrpc.Methods{
-		"poll": {
-			New: func() proto.Message { return &fleetwire.PollRequest{} },
-			Handle: func(ctx context.Context, r proto.Message) (proto.Message, error) {
-				return s.poll(ctx, r.(*fleetwire.PollRequest)), nil
-			},
-		},
-		"join": {
-			New: func() proto.Message { return &fleetwire.JoinRequest{} },
-			Handle: func(_ context.Context, r proto.Message) (proto.Message, error) {
-				return s.join(r.(*fleetwire.JoinRequest))
-			},
-		},
-		"propose": {
-			New: func() proto.Message { return &fleetwire.ProposeRequest{} },
-			Handle: func(ctx context.Context, r proto.Message) (proto.Message, error) {
-				return s.proposal(ctx, r.(*fleetwire.ProposeRequest))
-			},
-		},
+		"poll":    jsonrpc.NewMethod(s.poll),
+		"join":    jsonrpc.NewMethod(s.join),
+		"propose": jsonrpc.NewMethod(s.proposal),
 	}
 }
 
@@ -184,7 +169,7 @@
 }
 
 // poll answers a node with what changed since its own revisions.
-func (s *Server) poll(ctx context.Context, r *fleetwire.PollRequest) *fleetwire.PollReply {
+func (s *Server) poll(ctx context.Context, r *fleetwire.PollRequest) (*fleetwire.PollReply, error) {
 	s.metrics.polls.Inc()
 	st, ok := s.leading()
 	if !ok && r.GetSearch() {
@@ -195,10 +180,10 @@
 		if st.Leader.IsValid() {
 			out.Leader = st.Leader.String()
 		}
-		return out
+		return out, nil
 	}
 	if r.GetSearch() {
-		return &fleetwire.PollReply{Leading: true, Members: s.members()}
+		return &fleetwire.PollReply{Leading: true, Members: s.members()}, nil
 	}
 	s.announced(r)
 	if r.GetWait() {
@@ -208,32 +193,24 @@
 	s.desired.since(r.GetDesired(), out)
 	s.registry.since(r.GetTerm(), r.GetRegistry(), s.timers.Now(), out)
 	if proto.Size(out) < packAbove {
-		return out
+		return out, nil
 	}
 	b, err := s.packer.Pack(out)
 	if err != nil {
 		_ = level.Error(s.logger).Log("msg", "answer not packed", "err", err)
-		return out
+		return out, nil
 	}
-	return &fleetwire.PollReply{Leading: true, Packed: b}
+	return &fleetwire.PollReply{Leading: true, Packed: b}, nil
 }
 
 // awaitLeader is leading, but waits for a while if no leader is known.
 func (s *Server) awaitLeader(ctx context.Context) (mangokeel.LogStatus, bool) {
 	ctx, cancel := context.WithTimeout(ctx, searchHold)
 	defer cancel()
-	t := time.NewTicker(electionPeriod)
-	defer t.Stop()
 	for {
 		st, ok := s.leading()
-		if ok || st.Leader.IsValid() || !st.Voter {
-			return st, ok // one that does not vote hears of no election
-		}
-		select {
-		case <-t.C:
-		case <-ctx.Done():
-			return st, ok
-		case <-s.stop:
+		// One that does not vote hears of no election.
+		if ok || st.Leader.IsValid() || !st.Voter || !s.pause(ctx, electionPeriod) {
 			return st, ok
 		}
 	}
@@ -283,15 +260,16 @@
 		if st.Age < s.timers.Now().Sub(began) && st.Applied >= st.Committed {
 			return nil
 		}
-		if !s.pause(ctx) {
+		if !s.pause(ctx, retryPause) {
 			s.metrics.unsure.Inc()
 			return ErrUnsure
 		}
 	}
 }
 
-func (s *Server) pause(ctx context.Context) bool {
-	t := time.NewTimer(retryPause)
+// pause waits and reports whether to go on.
+func (s *Server) pause(ctx context.Context, d time.Duration) bool {
+	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
 	case <-t.C:
@@ -345,7 +323,7 @@
 			return out, errors.Wrap(proto.Unmarshal(raw, out), "decode result")
 		}
 		s.metrics.retries.Inc()
-		if !s.pause(ctx) {
+		if !s.pause(ctx, retryPause) {
 			s.metrics.unsure.Inc()
 			return nil, errors.WithSecondaryError(ErrUnsure, err)
 		}
@@ -365,7 +343,7 @@
 		return nil, mangokeel.ErrNotLeader
 	}
 	var out fleetwire.ProposeReply
-	if err := callOrDrop(ctx, s.remote, st.Leader, "propose", &fleetwire.ProposeRequest{Command: b}, &out); err != nil {
+	if err := jsonrpc.CallOrDrop(ctx, s.remote, st.Leader, "propose", &fleetwire.ProposeRequest{Command: b}, &out); err != nil {
 		return nil, err
 	}
 	if !out.GetLeading() {
@@ -374,16 +352,6 @@
 	return out.GetResult(), nil
 }
 
-// callOrDrop gives up a connection whose peer went silent, which would hold up later
-// calls for as long as the system resends.
-func callOrDrop(ctx context.Context, remote mangokeel.Remote, addr netip.AddrPort, method string, req, resp proto.Message) error {
-	err := remote.Call(ctx, addr, method, req, resp)
-	if d, ok := remote.(interface{ Drop(addr netip.AddrPort) }); ok && errors.Is(err, context.DeadlineExceeded) {
-		d.Drop(addr)
-	}
-	return err
-}
-
 // proposal answers other instances.
 func (s *Server) proposal(ctx context.Context, r *fleetwire.ProposeRequest) (*fleetwire.ProposeReply, error) {
 	if !s.log.Status().Leading {
--- a/internal/jsonrpc/jsonrpc.go
+++ b/internal/jsonrpc/jsonrpc.go
@@ -34,6 +34,22 @@
 	Handle mangokeel.Handler
 }
 
+// Request is a pointer to a message type.
+type Request[Q any] interface {
+	*Q
+	proto.Message
+}
+
+// NewMethod returns the method that a typed handler answers.
+func NewMethod[Q any, P Request[Q], R proto.Message](fn func(context.Context, P) (R, error)) Method {
+	return Method{
+		New: func() proto.Message { return P(new(Q)) },
+		Handle: func(ctx context.Context, req proto.Message) (proto.Message, error) {
+			return fn(ctx, req.(P))
+		},
+	}
+}
+
 // Methods maps names to methods.
 type Methods map[string]Method
 
@@ -258,6 +274,16 @@
 	}
 }
 
+// CallOrDrop calls and, when the time is over, gives up the connection: one whose peer went
+// silent would hold up later calls for as long as the system resends.
+func CallOrDrop(ctx context.Context, remote mangokeel.Remote, addr netip.AddrPort, method string, req, resp proto.Message) error {
+	err := remote.Call(ctx, addr, method, req, resp)
+	if d, ok := remote.(interface{ Drop(addr netip.AddrPort) }); ok && errors.Is(err, context.DeadlineExceeded) {
+		d.Drop(addr)
+	}
+	return err
+}
+
 // Close ends all connections.
 func (c *Client) Close() {
 	c.mu.Lock()
--- a/internal/replica/replica.go
+++ b/internal/replica/replica.go
@@ -427,21 +427,11 @@
 	ctx, cancel := context.WithTimeout(n.ctx, callTimeout)
 	defer cancel()
 	method, resp := methodOf(m.body)
-	err := n.remote.Call(ctx, m.to, method, m.body, resp)
-	if err == nil {
+	if err := jsonrpc.CallOrDrop(ctx, n.remote, m.to, method, m.body, resp); err == nil {
 		_ = n.post(n.ctx, func(now time.Time) { n.engine.core.step(now, 0, resp) })
-		return
-	}
-	// A connection whose peer went silent would hold up later calls for as long
-	// as the system resends.
-	if d, ok := n.remote.(dropper); ok && errors.Is(err, context.DeadlineExceeded) {
-		d.Drop(m.to)
 	}
 }
 
-// dropper is a Remote whose connections can be given up.
-type dropper interface{ Drop(addr netip.AddrPort) }
-
 func methodOf(req proto.Message) (string, proto.Message) {
 	switch req.(type) {
 	case *wire.VoteRequest:
