packet, fleet: targets are judged and ranked once

- fails, slow and better each wrote out which other targets take flows: Agent.takes.
- entry.accepted followed from acceptedAt; open says what four places combined; endFlows serves both ends of a target.
- State.Order computed a target's rank in each comparison; now once.

--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -126,3 +126,15 @@
 	f.poll(g, now)
 	c.Assert(f.v.State().Agents, qt.HasLen, 0)
 }
+
+// Measures what a node does for each packet whose way it does not know yet.
+func BenchmarkOrder(b *testing.B) {
+	s := &State{Targets: map[string][]*Target{}}
+	for i := range 42 {
+		s.Targets["s"] = append(s.Targets["s"], &Target{Agent: addr(i), Zone: "z", hash: mix(uint64(i + 1))})
+	}
+	var list []*Target
+	for b.Loop() {
+		list = s.Order(list[:0], "s", "z", 7)
+	}
+}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"cmp"
 	"maps"
 	"net/netip"
 	"slices"
@@ -120,9 +121,9 @@
 // Order returns the targets of a service in the order in which they are responsible for a
 // flow: silent ones last, those in zone first, then by rendezvous hash. It appends to list.
 func (s *State) Order(list []*Target, service string, zone mangokeel.AvailabilityZone, flow uint64) []*Target {
-	start := len(list)
-	list = append(list, s.Targets[service]...)
-	rank := func(t *Target) uint64 {
+	var buf [orderStack]ranked
+	ranks := buf[:0]
+	for _, t := range s.Targets[service] {
 		h := mix(t.hash^flow) >> 2
 		if t.Zone == zone {
 			h |= 1 << 62
@@ -130,21 +131,29 @@
 		if !t.Silent {
 			h |= 1 << 63
 		}
-		return h
+		ranks = append(ranks, ranked{h, t})
 	}
-	slices.SortFunc(list[start:], func(a, b *Target) int {
-		ra, rb := rank(a), rank(b)
-		switch {
-		case ra > rb:
-			return -1
-		case ra < rb:
-			return 1
+	slices.SortFunc(ranks, func(a, b ranked) int {
+		if c := cmp.Compare(b.rank, a.rank); c != 0 {
+			return c
 		}
-		return a.Agent.Compare(b.Agent)
+		return a.target.Agent.Compare(b.target.Agent)
 	})
+	for _, r := range ranks {
+		list = append(list, r.target)
+	}
 	return list
 }
 
+// orderStack is how many targets of a service are ordered without memory from the heap.
+const orderStack = 64
+
+// ranked is a target with its place in an order; the highest rank comes first.
+type ranked struct {
+	rank   uint64
+	target *Target
+}
+
 // mix is the finalizer of a 64-bit hash, so that single bits of the input decide all bits.
 func mix(x uint64) uint64 {
 	x ^= x >> 33
--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -57,8 +57,7 @@
 	// opened is the sequence number of the opening packet.
 	opened uint32
 	seen   time.Time
-	// accepted is set once the target has answered the opening packet, at acceptedAt.
-	accepted   bool
+	// acceptedAt is when the target answered the opening packet; the zero value until then.
 	acceptedAt time.Time
 	// busy is set while the caller awaits an answer, since asked.
 	busy  bool
@@ -85,6 +84,12 @@
 
 func (e *entry) local() bool { return !e.owner.IsValid() }
 
+// accepted reports whether the target has answered the opening packet.
+func (e *entry) accepted() bool { return !e.acceptedAt.IsZero() }
+
+// open reports whether the target holds the flow, as far as is known.
+func (e *entry) open() bool { return e.accepted() && !e.closed }
+
 // offer is a walk that waits for the target's word.
 type offer struct {
 	frame *fleetwire.Frame
@@ -497,7 +502,7 @@
 			return
 		}
 		// The agent started after the flow, or it took the flow for another's.
-		e = &entry{accepted: true, acceptedAt: now}
+		e = &entry{acceptedAt: now}
 		a.flows[f] = e
 		a.open++
 		if x, ok := a.offers[f]; ok {
@@ -506,8 +511,8 @@
 		}
 	}
 	e.seen = now
-	if p.Accepting && !e.accepted {
-		e.accepted, e.acceptedAt, e.frame = true, now, nil
+	if p.Accepting && !e.accepted() {
+		e.acceptedAt, e.frame = now, nil
 		a.open++
 	}
 	begins := p.Sequence == e.acknowledged
@@ -556,7 +561,7 @@
 		return
 	}
 	if e != nil && e.local() {
-		wasOpen := e.accepted && !e.closed
+		wasOpen := e.open()
 		a.forget(f, e)
 		if wasOpen {
 			a.gate.forgot(a.now())
@@ -586,7 +591,7 @@
 }
 
 func (a *Agent) setClosed(e *entry) {
-	if e.accepted && !e.closed {
+	if e.open() {
 		a.open--
 	}
 	e.closed = true
@@ -601,13 +606,21 @@
 	delete(a.flows, f)
 }
 
+// endFlows resets the flows whose target has ended.
+func (a *Agent) endFlows(reason string) {
+	for _, f := range a.ends {
+		a.end(f, reason)
+	}
+	a.ends = nil
+}
+
 // end resets a flow whose target has ended.
 func (a *Agent) end(f mangokeel.Flow, reason string) {
 	e := a.flows[f]
 	if e == nil || !e.local() {
 		return
 	}
-	if e.accepted && !e.closed {
+	if e.open() {
 		a.events.decide(Ended, f, "reason", reason)
 		a.link.Caller(f.Caller.Addr(), a.codec.Reset(mangokeel.Packet{Source: f.Caller, Destination: f.Address, Acknowledged: e.acknowledged}))
 	}
@@ -650,9 +663,6 @@
 		}
 	}
 	if len(a.ends) > 0 && !now.Before(a.endAt) {
-		for _, f := range a.ends {
-			a.end(f, "target ended")
-		}
-		a.ends = nil
+		a.endFlows("target ended")
 	}
 }
--- a/internal/packet/gate.go
+++ b/internal/packet/gate.go
@@ -184,10 +184,7 @@
 	default:
 		a.events.change("target started again", "id", r.ID, "before", g.id, "flows", a.open)
 		a.endBefore(now.Add(-max(0, now.Sub(r.Born))))
-		for _, f := range a.ends {
-			a.end(f, "target started again")
-		}
-		a.ends = nil
+		a.endFlows("target started again")
 	}
 	a.observeZone(a.view.State())
 	if !g.known || g.id != r.ID || g.ready == r.Draining || g.gone {
--- a/internal/packet/place.go
+++ b/internal/packet/place.go
@@ -296,7 +296,7 @@
 	a.order = s.Order(a.order[:0], service, zone, hashOf(f))
 	for _, t := range a.order {
 		e := a.loads[t.Agent]
-		if t.Agent == a.cfg.Address || !t.Ready || s.Out[t.Zone] || contains(x.GetPassed(), t.Agent) || e.silent(now) {
+		if !a.takes(s, t) || contains(x.GetPassed(), t.Agent) || e.silent(now) {
 			continue
 		}
 		c := cost(e.value(now), e.time(now), t.Slots, t.Zone != zone, t.Cold) + risk(e.failures(now))
@@ -337,7 +337,7 @@
 	}
 	others, better := 0, 0
 	for _, t := range s.Targets[service] {
-		if t.Agent == a.cfg.Address || !t.Ready || s.Out[t.Zone] {
+		if !a.takes(s, t) {
 			continue
 		}
 		others++
@@ -359,7 +359,7 @@
 	known, faster := 0, 0
 	for _, t := range s.Targets[service] {
 		e := a.loads[t.Agent]
-		if !t.Ready || s.Out[t.Zone] || !e.timed(now) {
+		if !a.takes(s, t) || !e.timed(now) {
 			continue
 		}
 		known++
@@ -370,6 +370,11 @@
 	return known >= slowLeast && 2*faster > known
 }
 
+// takes reports whether another target takes new flows.
+func (a *Agent) takes(s *fleet.State, t *fleet.Target) bool {
+	return t.Agent != a.cfg.Address && t.Ready && !s.Out[t.Zone]
+}
+
 // refuse tells the caller that a flow was not opened. A copy of an opening packet and a late
 // one are dropped instead, since another may have been taken, and so is a packet that others
 // may take whom this agent does not know yet: the caller's next copy finds them.
