process, settings, node: parts that were written twice

- node.serveHTTP and Process.ServeStatus were one server: Process.Serve.
- three closures read the settings again: the settings embed Cluster, and reloading takes any of them.
Lines is a type with its default and its check, once (pairs in pkg/settings/node.go).
Behaviour is the same but for the text of one error: a status address that is taken says "status: listen on ADDRESS" instead of "listen for status".

--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -238,10 +238,6 @@
 	if !addr.IsValid() {
 		return nil
 	}
-	l, err := net.Listen("tcp", addr.String())
-	if err != nil {
-		return errors.Wrap(err, "listen for status")
-	}
 	mux := http.NewServeMux()
 	mux.Handle("GET /metrics", promhttp.HandlerFor(p.Registry, promhttp.HandlerOpts{}))
 	mux.HandleFunc("GET /dump", func(w http.ResponseWriter, _ *http.Request) {
@@ -253,7 +249,20 @@
 		}
 	})
 	mux.HandleFunc("GET /healthz", func(w http.ResponseWriter, _ *http.Request) { fmt.Fprintln(w, "ok") })
-	srv := &http.Server{Handler: mux, ReadHeaderTimeout: 5 * time.Second}
+	return errors.Wrap(p.Serve(addr, mux, until...), "status")
+}
+
+// headerTimeout bounds the wait for a request's header.
+const headerTimeout = 5 * time.Second
+
+// Serve adds a server to the group that answers on addr. It ends only when all channels of
+// until are closed.
+func (p *Process) Serve(addr netip.AddrPort, h http.Handler, until ...<-chan struct{}) error {
+	l, err := net.Listen("tcp", addr.String())
+	if err != nil {
+		return errors.Wrapf(err, "listen on %s", addr)
+	}
+	srv := &http.Server{Handler: h, ReadHeaderTimeout: headerTimeout}
 	p.Group.Add(func() error { return srv.Serve(l) }, func(error) {
 		for _, c := range until {
 			<-c
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -36,14 +36,19 @@
 // of 200 bytes each.
 const DefaultLines = 20
 
-func lineRate(n int) int {
-	if n == 0 {
+// Lines is how many lines about decisions are logged in a second for ordinary ones, and as
+// many for failures; 0 means DefaultLines.
+type Lines int
+
+// Rate returns l with the default applied.
+func (l Lines) Rate() int {
+	if l == 0 {
 		return DefaultLines
 	}
-	return n
+	return int(l)
 }
 
-func checkLines(n int) *Error { return fault(n >= 0, "lines", "%d is negative", n) }
+func (l Lines) check() *Error { return fault(l >= 0, "lines", "%d is negative", l) }
 
 func checkMemory(mb int) *Error {
 	return fault(mb == 0 || mb >= minMemoryMB, "memory", "%d MB is below %d MB", mb, minMemoryMB)
@@ -62,21 +67,16 @@
 	// Status serves /metrics and /dump.
 	Status netip.AddrPort `yaml:"status"`
 	// Memory is the limit of the process in MB; 0 is no limit.
-	Memory int `yaml:"memory"`
-	// Lines is how many lines about decisions are logged in a second for ordinary ones,
-	// and as many for failures; 0 means DefaultLines.
-	Lines   int     `yaml:"lines"`
-	Cluster Cluster `yaml:"cluster"`
+	Memory  int   `yaml:"memory"`
+	Lines   Lines `yaml:"lines"`
+	Cluster `yaml:"cluster"`
 }
 
-// LineRate returns Lines with the default applied.
-func (s *PacketBalancer) LineRate() int { return lineRate(s.Lines) }
-
 // Check implements Checker.
 func (s *PacketBalancer) Check() error {
 	return first(
 		needName("name", s.Name), needName("zone", s.Zone), needAddr("data", s.Data), needAddr("hints", s.Hints),
-		needAddr("ready", s.Ready), optionalAddr("status", s.Status), checkMemory(s.Memory), checkLines(s.Lines), s.Cluster.check(),
+		needAddr("ready", s.Ready), optionalAddr("status", s.Status), checkMemory(s.Memory), s.Lines.check(), s.Cluster.check(),
 	)
 }
 
@@ -98,21 +98,17 @@
 	// Status serves /metrics and /dump.
 	Status netip.AddrPort `yaml:"status"`
 	// Memory is the limit of the process in MB; 0 is no limit.
-	Memory int `yaml:"memory"`
-	// Lines is as in PacketBalancer.
-	Lines   int     `yaml:"lines"`
-	Cluster Cluster `yaml:"cluster"`
+	Memory  int   `yaml:"memory"`
+	Lines   Lines `yaml:"lines"`
+	Cluster `yaml:"cluster"`
 }
 
-// LineRate returns Lines with the default applied.
-func (s *PacketAgent) LineRate() int { return lineRate(s.Lines) }
-
 // Check implements Checker.
 func (s *PacketAgent) Check() error {
 	return first(
 		needName("name", s.Name), needName("zone", s.Zone), needAddr("data", s.Data), needAddr("outbound", s.Outbound),
 		needAddr("target", s.Target), needAddr("reports", s.Reports), optionalAddr("ready", s.Ready),
-		optionalAddr("status", s.Status), checkMemory(s.Memory), checkLines(s.Lines), s.Cluster.check(),
+		optionalAddr("status", s.Status), checkMemory(s.Memory), s.Lines.check(), s.Cluster.check(),
 	)
 }
 
@@ -133,8 +129,8 @@
 	// Losses is how many control instances may be lost at once.
 	Losses int `yaml:"losses"`
 	// Memory is the limit of the process in MB; 0 is no limit.
-	Memory  int     `yaml:"memory"`
-	Cluster Cluster `yaml:"cluster"`
+	Memory  int `yaml:"memory"`
+	Cluster `yaml:"cluster"`
 }
 
 // Check implements Checker.
