--- a/internal/fleet/desired.go
+++ b/internal/fleet/desired.go
@@ -3,7 +3,8 @@
 //
 // The desired state is decided by the replicated log: the operators' configuration and the zones
 // that are out of service. The registry is soft state in the leader's memory: the agents
-// that announce a target, each under a lease.
+// that announce a target, each under a lease. Only the list of their addresses is in the log as
+// well, so that a new leader knows for whom to wait.
 //
 //	d := fleet.NewDesired()                     // the log's machine, on each control instance
 //	s := fleet.NewServer(d, log, members, ...)  // answers polls, admits instances
@@ -54,6 +55,8 @@
 		out.Installed = m.install(r, x.Install)
 	case *fleetwire.Command_Zone:
 		m.setZone(r, x.Zone)
+	case *fleetwire.Command_Agents:
+		m.changeAgents(x.Agents)
 	}
 	out.Version = m.state.GetConfig().GetVersion()
 	b, err := proto.Marshal(out)
@@ -131,6 +134,25 @@
 	m.advance(r)
 }
 
+// changeAgents changes the list of agents. Nodes do not hear of it, so the revision stays.
+func (m *Desired) changeAgents(x *fleetwire.AgentChange) {
+	left := map[string]bool{}
+	for _, agent := range x.GetLeft() {
+		left[agent] = true
+	}
+	list := append(slices.Clone(m.state.GetAgents()), x.GetJoined()...)
+	list = slices.DeleteFunc(list, func(agent string) bool { return left[agent] })
+	slices.Sort(list)
+	m.state.Agents = slices.Compact(list)
+}
+
+// Agents returns the addresses of the agents that may get flows, in ascending order.
+func (m *Desired) Agents() []string {
+	m.mu.Lock()
+	defer m.mu.Unlock()
+	return slices.Clone(m.state.GetAgents())
+}
+
 func (m *Desired) advance(r mangokeel.Revision) {
 	m.state.Revision = uint64(r)
 	m.notify()
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -58,7 +58,6 @@
 	known          []netip.AddrPort
 	next           int
 	term, registry uint64
-	complete       bool
 	connected      bool
 	// began is when the present round did.
 	began time.Time
@@ -264,11 +263,6 @@
 	f.leader, f.connected, f.patience = addr, true, searchTimeout
 	f.view.Apply(out, time.Now())
 	f.term, f.registry = out.GetTerm(), out.GetRegistry()
-	if out.GetComplete() && !f.complete && !out.GetAll() {
-		// Records that an additive list left in place must be compared with the whole.
-		f.term, f.registry = 0, 0
-	}
-	f.complete = out.GetComplete()
 	f.mu.Lock()
 	f.heard = time.Now()
 	if f.gone == req.GetGone() {
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -62,6 +62,7 @@
 		s.metrics.expired.Inc()
 		_ = level.Warn(s.logger).Log("msg", "lease ended", "agent", agent, "after", lease)
 	}
+	s.registry.relist()
 	s.metrics.targets.Set(float64(s.registry.size()))
 	step := s.decide(s.log.Members())
 	if step.kind == stay {
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"slices"
 	"sync"
 	"time"
 
@@ -17,9 +18,12 @@
 	// forgotten is how long a silent agent's target may still hold flows that its agent
 	// serves: cuts between nodes and control last for seconds.
 	forgotten = 15 * time.Second
-	// gathering is how long a new leader's registry may lack live agents: as long as an
-	// agent may be silent, and one slow fetch of the whole state.
+	// gathering is how long a new leader waits for agents on the list that do not announce
+	// themselves: as long as an agent may be silent, and one slow fetch of the whole state.
 	gathering = lease + wholeTimeout
+	// agePeriod is how often the leader looks for the agent that it has not heard of for the
+	// longest time.
+	agePeriod = 20 * time.Millisecond
 	// removalLimit bounds the removals that are remembered. A node that missed more
 	// gets the whole registry.
 	removalLimit = 1024
@@ -28,7 +32,7 @@
 // record is an announcement with the registry's bookkeeping.
 type record struct {
 	a *fleetwire.Announcement
-	// revision rises with each change.
+	// revision rises with each change. It is 0 until the agent is on the list.
 	revision uint64
 	heard    time.Time
 }
@@ -38,7 +42,9 @@
 	revision uint64
 }
 
-// registry is the leader's list of agents. The zero value is not usable.
+// registry is the leader's record of agents. Nodes hear of an agent, and so send it flows, only
+// once it is on the list in the log. A later leader therefore knows that it has heard of every
+// agent that may hold flows. The zero value is not usable.
 type registry struct {
 	mu sync.Mutex
 	// term tells registries of different leaderships apart.
@@ -50,10 +56,24 @@
 	removals []removal
 	dropped  uint64
 	changed  chan struct{}
+
+	// listed has the agents on the list. It is nil until the list of this term is known, which
+	// includes all changes of earlier terms.
+	listed map[string]bool
+	// missing are the agents on the list that have not announced themselves in this term.
+	missing map[string]bool
+	// first is set while the list was empty when the term began: the first agents of a
+	// deployment are not on it.
+	first bool
+	// heard is when the leader last heard of the agent that it has not heard of for the longest
+	// time, as of agedAt.
+	heard, agedAt time.Time
+	// unlisted has a value when the list may differ from the records.
+	unlisted chan struct{}
 }
 
 func newRegistry() *registry {
-	return &registry{records: map[string]*record{}, changed: make(chan struct{})}
+	return &registry{records: map[string]*record{}, changed: make(chan struct{}), unlisted: make(chan struct{}, 1)}
 }
 
 // begin empties the registry for a new leadership.
@@ -65,7 +85,96 @@
 	}
 	g.term, g.began, g.revision = term, now, 0
 	g.records, g.removals, g.dropped = map[string]*record{}, nil, 0
+	g.listed, g.missing = nil, nil
 	g.notify()
+	g.relist()
+}
+
+// relist makes whoever keeps the list look at it.
+func (g *registry) relist() {
+	select {
+	case g.unlisted <- struct{}{}:
+	default:
+	}
+}
+
+// known reports whether the list of the present term is known.
+func (g *registry) known(term uint64) bool {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	return g.term == term && g.listed != nil
+}
+
+// list takes over the list of agents in the log. The first one of a term must include all
+// changes of earlier terms.
+func (g *registry) list(term uint64, agents []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.term != term {
+		return
+	}
+	begins := g.listed == nil
+	g.listed = make(map[string]bool, len(agents))
+	for _, agent := range agents {
+		g.listed[agent] = true
+	}
+	if begins {
+		g.first, g.missing = len(agents) == 0, map[string]bool{}
+		for _, agent := range agents {
+			if g.records[agent] == nil {
+				g.missing[agent] = true
+			}
+		}
+	}
+	changed := begins
+	for agent, r := range g.records {
+		if r.revision == 0 && g.listed[agent] {
+			g.revision++
+			r.revision, changed = g.revision, true
+		}
+	}
+	if changed {
+		g.notify()
+	}
+}
+
+// listChange returns what the list lacks and what it has too much. What is about to leave the
+// list counts as left: if it comes back meanwhile, it must be listed again.
+func (g *registry) listChange(now time.Time) (joined, left []string) {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	if g.listed == nil {
+		return nil, nil
+	}
+	for agent := range g.records {
+		if !g.listed[agent] {
+			joined = append(joined, agent)
+		}
+	}
+	gathered := now.Sub(g.began) > gathering
+	for agent := range g.listed {
+		if g.records[agent] == nil && (gathered || !g.missing[agent]) {
+			left = append(left, agent)
+		}
+	}
+	for _, agent := range left {
+		delete(g.listed, agent)
+	}
+	slices.Sort(joined)
+	slices.Sort(left)
+	return joined, left
+}
+
+// complete reports whether every agent that may hold flows was heard of, or had the time to
+// announce itself.
+func (g *registry) complete(now time.Time) bool {
+	switch {
+	case g.listed == nil:
+		return false
+	case now.Sub(g.began) > gathering:
+		return true
+	}
+	return !g.first && len(g.missing) == 0
 }
 
 func (g *registry) notify() {
@@ -84,6 +193,11 @@
 	}
 	r := &record{a: a, heard: now}
 	g.records[a.GetAgent()] = r
+	delete(g.missing, a.GetAgent())
+	if !g.listed[a.GetAgent()] {
+		g.relist()
+		return old == nil
+	}
 	if old != nil && old.a.GetStart() == a.GetStart() && old.a.GetSerial() == a.GetSerial() && old.a.GetState() == a.GetState() {
 		r.revision = old.revision
 		return false
@@ -106,6 +220,7 @@
 		return false
 	}
 	delete(g.records, agent)
+	g.relist()
 	g.revision++
 	g.removals = append(g.removals, removal{agent, g.revision})
 	if n := len(g.removals) - removalLimit; n > 0 {
@@ -128,9 +243,11 @@
 		case silent > lease && r.a.GetState() != fleetwire.State_STATE_SILENT:
 			r.a = proto.CloneOf(r.a)
 			r.a.State = fleetwire.State_STATE_SILENT
-			g.revision++
-			r.revision = g.revision
-			g.notify()
+			if g.listed[agent] {
+				g.revision++
+				r.revision = g.revision
+				g.notify()
+			}
 			ended = append(ended, agent)
 		}
 	}
@@ -149,7 +266,8 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out.Term, out.Registry = g.term, g.revision
-	out.Complete = now.Sub(g.began) > gathering
+	out.Complete = g.complete(now)
+	out.HeardMs = uint64(g.oldest(now).Milliseconds())
 	out.All = term != g.term || revision < g.dropped || revision > g.revision
 	if out.GetAll() {
 		revision = 0
@@ -166,12 +284,26 @@
 		return
 	}
 	for _, x := range g.removals {
-		if x.revision > revision && g.records[x.agent] == nil {
+		if r := g.records[x.agent]; x.revision > revision && (r == nil || r.revision == 0) {
 			out.Removed = append(out.Removed, x.agent)
 		}
 	}
 }
 
+// oldest returns how long ago the leader heard of the agent that it has not heard of for the
+// longest time, silent ones left out.
+func (g *registry) oldest(now time.Time) time.Duration {
+	if now.Sub(g.agedAt) > agePeriod {
+		g.agedAt, g.heard = now, now
+		for _, r := range g.records {
+			if r.a.GetState() != fleetwire.State_STATE_SILENT && r.heard.Before(g.heard) {
+				g.heard = r.heard
+			}
+		}
+	}
+	return now.Sub(g.heard)
+}
+
 func (g *registry) size() int {
 	g.mu.Lock()
 	defer g.mu.Unlock()
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -6,6 +6,7 @@
 
 	qt "github.com/frankban/quicktest"
 
+	"mangokeel"
 	"mangokeel/internal/fleetwire"
 )
 
@@ -18,6 +19,12 @@
 	agentB = "10.0.0.2:7"
 )
 
+// lead begins a term whose list has agents.
+func lead(g *registry, term uint64, now time.Time, agents ...string) {
+	g.begin(term, now)
+	g.list(term, agents)
+}
+
 // follow keeps a view current as a follower does.
 type follow struct {
 	v              View
@@ -37,7 +44,7 @@
 	c := qt.New(t)
 	now := time.Now()
 	old := newRegistry()
-	old.begin(1, now.Add(-time.Minute))
+	lead(old, 1, now.Add(-time.Minute), agentA, agentB)
 	old.hear(announcement(agentA, 1), now)
 	old.hear(announcement(agentB, 1), now)
 	f := &follow{}
@@ -45,14 +52,13 @@
 	c.Assert(f.v.State().Agents, qt.HasLen, 2)
 
 	g := newRegistry()
-	g.begin(2, now)
+	lead(g, 2, now, agentA, agentB)
 	g.hear(announcement(agentA, 1), now)
 	f.poll(g, now)
 	c.Assert(f.v.State().Agents, qt.HasLen, 2)
 	c.Assert(f.v.State().Complete, qt.IsFalse)
 
 	now = now.Add(gathering + time.Millisecond)
-	f.term, f.registry = 0, 0 // as Follower does at the first complete answer
 	f.poll(g, now)
 	c.Assert(f.v.State().Complete, qt.IsTrue)
 	c.Assert(f.v.State().Agents, qt.HasLen, 1)
@@ -64,7 +70,7 @@
 	c := qt.New(t)
 	now := time.Now()
 	g := newRegistry()
-	g.begin(1, now.Add(-time.Minute))
+	lead(g, 1, now.Add(-time.Minute), agentA)
 	g.hear(announcement(agentA, 1), now)
 	f := &follow{}
 	f.poll(g, now)
@@ -93,7 +99,7 @@
 	c := qt.New(t)
 	now := time.Now()
 	g := newRegistry()
-	g.begin(1, now)
+	lead(g, 1, now, agentA)
 	g.hear(announcement(agentA, 5), now)
 	late := announcement(agentA, 4)
 	late.State = fleetwire.State_STATE_DRAINING
@@ -114,7 +120,7 @@
 	c := qt.New(t)
 	now := time.Now()
 	g := newRegistry()
-	g.begin(1, now.Add(-time.Minute))
+	lead(g, 1, now.Add(-time.Minute), agentA, agentB)
 	g.hear(announcement(agentA, 1), now)
 	f := &follow{}
 	f.poll(g, now)
@@ -127,6 +133,117 @@
 	c.Assert(f.v.State().Agents, qt.HasLen, 0)
 }
 
+// Guards against six seconds in which nobody dares to end the flows of lost targets: a new
+// leader's registry is complete as soon as the last agent on the list has announced itself, and
+// not before (docs/incidents.md, 13).
+func TestRegistryIsCompleteWithTheLastAgent(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	g := newRegistry()
+	g.begin(1, now)
+	f := &follow{}
+	g.hear(announcement(agentA, 1), now)
+	f.poll(g, now)
+	c.Assert(f.v.State().Agents, qt.HasLen, 0, qt.Commentf("the list is not known yet"))
+	g.list(1, []string{agentA, agentB})
+	f.poll(g, now)
+	c.Assert(f.v.State().Agents, qt.HasLen, 1)
+	c.Assert(f.v.State().Complete, qt.IsFalse)
+	g.hear(announcement(agentB, 1), now)
+	f.poll(g, now)
+	c.Assert(f.v.State().Complete, qt.IsTrue)
+	c.Assert(f.v.State().Agents, qt.HasLen, 2)
+}
+
+// Guards against a registry that counts as complete while the first agents of a deployment,
+// which are on no list yet, announce themselves.
+func TestFirstAgentsAreAwaited(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	g := newRegistry()
+	lead(g, 1, now)
+	g.hear(announcement(agentA, 1), now)
+	g.list(1, []string{agentA})
+	f := &follow{}
+	f.poll(g, now)
+	c.Assert(f.v.State().Agents, qt.HasLen, 1)
+	c.Assert(f.v.State().Complete, qt.IsFalse)
+	f.poll(g, now.Add(gathering+time.Millisecond))
+	c.Assert(f.v.State().Complete, qt.IsTrue)
+}
+
+// Guards against agents that get flows while a later leader would not wait for them, and
+// against a list that keeps agents which have left.
+func TestAgentsAreListedBeforeTheyGetFlows(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	g := newRegistry()
+	lead(g, 1, now, agentA)
+	g.hear(announcement(agentA, 1), now)
+	g.hear(announcement(agentB, 1), now)
+	f := &follow{}
+	f.poll(g, now)
+	c.Assert(f.v.State().Agents, qt.HasLen, 1)
+	joined, left := g.listChange(now)
+	c.Assert(joined, qt.DeepEquals, []string{agentB})
+	c.Assert(left, qt.HasLen, 0)
+	g.list(1, []string{agentA, agentB})
+	f.poll(g, now)
+	c.Assert(f.v.State().Agents, qt.HasLen, 2)
+
+	g.remove(agentA)
+	joined, left = g.listChange(now)
+	c.Assert(joined, qt.HasLen, 0)
+	c.Assert(left, qt.DeepEquals, []string{agentA})
+	g.hear(announcement(agentA, 2), now) // it comes back before the change is accepted
+	g.list(1, []string{agentB})
+	f.poll(g, now)
+	c.Assert(f.v.State().Agents, qt.HasLen, 1)
+	joined, _ = g.listChange(now)
+	c.Assert(joined, qt.DeepEquals, []string{agentA})
+}
+
+// Guards against places that all change, or are all in one zone, when agents come and go.
+func TestPlaces(t *testing.T) {
+	c := qt.New(t)
+	v := &View{}
+	reply := func(n int) *fleetwire.PollReply {
+		r := &fleetwire.PollReply{Term: 1, All: true, Complete: true}
+		for i := range n {
+			a := announcement(addr(i).String(), 1)
+			a.Zone = string(rune('a' + i%4))
+			r.Announcements = append(r.Announcements, a)
+		}
+		return r
+	}
+	v.Apply(reply(40), time.Now())
+	before := v.State()
+	v.Apply(reply(41), time.Now())
+	after := v.State()
+	moved := 0
+	const flows = 10_000
+	for i := range uint64(flows) {
+		x, y := before.Places(nil, mix(i+1)), after.Places(nil, mix(i+1))
+		c.Assert(x, qt.HasLen, placeCount)
+		seen := map[mangokeel.AvailabilityZone]bool{}
+		for _, t := range x {
+			seen[t.Zone] = true
+		}
+		c.Assert(seen, qt.HasLen, placeCount)
+		for j := range x {
+			if x[j].Agent != y[j].Agent {
+				moved++
+			}
+		}
+	}
+	// The new agent becomes a place of its even share of the flows.
+	c.Assert(moved < flows*placeCount*2/41, qt.IsTrue, qt.Commentf("%d places moved", moved))
+
+	v.Apply(reply(2), time.Now())
+	c.Assert(v.State().Places(nil, 7), qt.HasLen, 2)
+	c.Assert((&State{}).Places(nil, 7), qt.HasLen, 0)
+}
+
 // Measures what a node does for each packet whose way it does not know yet.
 func BenchmarkOrder(b *testing.B) {
 	s := &State{Targets: map[string][]*Target{}}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -39,6 +39,13 @@
 	packAbove = 1 << 10
 	// sweepPeriod is how often the leader looks at leases and members.
 	sweepPeriod = 250 * time.Millisecond
+	// listTimeout bounds one change of the list of agents, so that a leader that lost its
+	// majority notices the next term.
+	listTimeout = time.Second
+	// newsPause is how long an answer waits for further changes of the registry. Many
+	// agents change within the same tenth of a second when they are started or released,
+	// and each change would wake all nodes.
+	newsPause = 20 * time.Millisecond
 )
 
 // ErrUnsure means that the instance could not confirm in time that its state is current,
@@ -121,9 +128,7 @@
 		default:
 		}
 	})
-	s.done.Add(1)
-	go func() {
-		defer s.done.Done()
+	s.done.Go(func() {
 		for {
 			select {
 			case <-s.stop:
@@ -132,7 +137,17 @@
 				s.lead()
 			}
 		}
-	}()
+	})
+	s.done.Go(func() {
+		for {
+			select {
+			case <-s.stop:
+				return
+			case <-s.registry.unlisted:
+				s.keepList()
+			}
+		}
+	})
 	return s
 }
 
@@ -233,22 +248,64 @@
 	}
 }
 
+// keepList brings the list of agents in the log up to date with the registry.
+func (s *Server) keepList() {
+	st, ok := s.leading()
+	if !ok {
+		return
+	}
+	ctx, cancel := context.WithTimeout(context.Background(), listTimeout)
+	defer cancel()
+	if !s.registry.known(st.Term) {
+		// Once a command of this term is accepted, those of earlier terms are applied.
+		if err := s.changeList(ctx, &fleetwire.AgentChange{}); err != nil {
+			_ = level.Warn(s.logger).Log("msg", "list of agents not read", "term", st.Term, "err", err)
+			return // the next sweep tries again
+		}
+		s.registry.list(st.Term, s.desired.Agents())
+	}
+	joined, left := s.registry.listChange(s.timers.Now())
+	if len(joined)+len(left) == 0 {
+		return
+	}
+	err := s.changeList(ctx, &fleetwire.AgentChange{Joined: joined, Left: left})
+	s.registry.list(st.Term, s.desired.Agents())
+	_ = level.Info(s.logger).Log("msg", "list of agents changed", "joined", len(joined), "left", len(left), "err", err)
+}
+
+// changeList gets a change of the list accepted while this instance leads.
+func (s *Server) changeList(ctx context.Context, x *fleetwire.AgentChange) error {
+	b, err := s.packer.Pack(&fleetwire.Command{Body: &fleetwire.Command_Agents{Agents: x}})
+	if err != nil {
+		return err
+	}
+	_, _, err = s.log.Propose(ctx, b)
+	return err
+}
+
 // await returns when the node lacks something or the poll was held long enough.
 func (s *Server) await(ctx context.Context, r *fleetwire.PollRequest) {
 	desired, desiredChanged := s.desired.watch()
 	term, registry, registryChanged := s.registry.watch()
-	if desired != r.GetDesired() || term != r.GetTerm() || registry != r.GetRegistry() {
+	if desired != r.GetDesired() || term != r.GetTerm() {
 		return
 	}
-	t := time.NewTimer(pollHold)
-	defer t.Stop()
-	select {
-	case <-desiredChanged:
-	case <-registryChanged:
-	case <-t.C:
-	case <-ctx.Done():
-	case <-s.stop:
+	if registry == r.GetRegistry() {
+		t := time.NewTimer(pollHold)
+		defer t.Stop()
+		select {
+		case <-registryChanged:
+		case <-desiredChanged:
+			return
+		case <-t.C:
+			return
+		case <-ctx.Done():
+			return
+		case <-s.stop:
+			return
+		}
 	}
+	s.pause(ctx, newsPause)
 }
 
 // Confirmed waits until a majority confirmed the state after the call began and this
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -5,7 +5,6 @@
 	"maps"
 	"net/netip"
 	"slices"
-	"strings"
 	"sync"
 	"sync/atomic"
 	"time"
@@ -27,7 +26,9 @@
 	// Silent is set while the agent's lease has ended. The target may hold flows.
 	Silent bool
 	// Cold is set while the target bears little.
-	Cold  bool
+	Cold bool
+	// Aware is set when the agent knows all flows that the target may hold.
+	Aware bool
 	Slots int
 	Start uint64
 
@@ -80,6 +81,23 @@
 	return ""
 }
 
+// Services returns the services that may hold a flow of the route, the likeliest first.
+func (r *Route) Services(hash uint64) []string {
+	first := r.Choose(hash)
+	list := []string{first}
+	for _, s := range r.Shares {
+		if s.Service != first {
+			list = append(list, s.Service)
+		}
+	}
+	for _, service := range r.Former {
+		if !r.Allows(service) {
+			list = append(list, service)
+		}
+	}
+	return list
+}
+
 // Service is what the configuration says of a service.
 type Service struct {
 	// Connections is the most flows that a target holds; 0 is no limit.
@@ -103,19 +121,72 @@
 	First time.Time
 	// Complete is false while the leader may not have heard of all agents.
 	Complete bool
+	// Roster rises with each change of the targets. Steady is when it last became known that an
+	// agent came, went, started again, or fell silent.
+	Roster uint64
+	Steady time.Time
 	// Targets is in ascending order of their agents.
 	Targets map[string][]*Target
 	// Agents finds a target by its agent.
 	Agents map[netip.AddrPort]*Target
+	// zones has the targets of all services whose agents are heard of, by zone.
+	zones []zoneTargets
+}
+
+// zoneTargets are the targets of an availability zone, in ascending order of their agents.
+type zoneTargets struct {
+	hash    uint64
+	targets []*Target
 }
 
 // Settling is how long after a common start of all nodes targets may be missing: agents
 // look for a leader with searchTimeout and hear of the target with its next report.
 const Settling = 800 * time.Millisecond
 
-// Settled reports whether a missing target is known not to exist.
+// Settled reports whether a missing target is known not to exist, or had the time to come up.
 func (s *State) Settled(now time.Time) bool {
-	return !s.First.IsZero() && now.Sub(s.First) > Settling
+	return !s.First.IsZero() && (s.Complete || now.Sub(s.First) > Settling)
+}
+
+// placeCount is how many agents remember who holds a flow: one may be lost while another is
+// frozen.
+const placeCount = 3
+
+// Places appends to list the agents that remember who holds a flow, whatever its service and
+// its caller's zone are. They are in as many zones as possible, and few flows get other ones
+// when agents come and go.
+func (s *State) Places(list []*Target, flow uint64) []*Target {
+	var zones [placeCount]*zoneTargets
+	n := 0
+	for i := range s.zones {
+		z := &s.zones[i]
+		at := n
+		for at > 0 && mix(zones[at-1].hash^flow) < mix(z.hash^flow) {
+			at--
+		}
+		if at == placeCount {
+			continue
+		}
+		n = min(n+1, placeCount)
+		copy(zones[at+1:n], zones[at:n-1])
+		zones[at] = z
+	}
+	if n == 0 {
+		return list
+	}
+	first := len(list)
+	for i := range placeCount {
+		var best *Target
+		for _, t := range zones[i%n].targets {
+			if (best == nil || mix(t.hash^flow) > mix(best.hash^flow)) && !slices.Contains(list[first:], t) {
+				best = t
+			}
+		}
+		if best != nil {
+			list = append(list, best)
+		}
+	}
+	return list
 }
 
 // Order returns the targets of a service in the order in which they are responsible for a
@@ -169,7 +240,30 @@
 	mu    sync.Mutex
 	// announced is the registry as this node knows it, by agent.
 	announced map[string]*fleetwire.Announcement
-	routes    map[string]*fleetwire.Route
+	// terms says in which leader's term each of them was last told.
+	terms map[string]uint64
+	// gathered is the last term whose leader has told of all agents.
+	gathered uint64
+	heard    atomic.Pointer[time.Time]
+	// all is when the leader had heard of all agents that are not silent.
+	all atomic.Pointer[time.Time]
+}
+
+// AllHeard returns a time after which each agent that is not silent has reached the leader; the
+// zero value if none is known.
+func (v *View) AllHeard() time.Time {
+	if t := v.all.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
+}
+
+// Heard returns when a leader last answered; the zero value if never.
+func (v *View) Heard() time.Time {
+	if t := v.heard.Load(); t != nil {
+		return *t
+	}
+	return time.Time{}
 }
 
 // State returns the present state. It is never nil.
@@ -184,6 +278,11 @@
 func (v *View) Apply(r *fleetwire.PollReply, now time.Time) bool {
 	v.mu.Lock()
 	defer v.mu.Unlock()
+	v.heard.Store(&now)
+	// The answer was on its way for a time that is not known, which makes this late. Searches
+	// ask places only after it came, so that the word of any agent had as much time.
+	all := now.Add(-time.Duration(r.GetHeardMs()) * time.Millisecond)
+	v.all.Store(&all)
 	old := v.State()
 	next := *old
 	if next.First.IsZero() {
@@ -194,6 +293,9 @@
 	changed = v.applyDesired(r, &next) || changed
 	if v.applyRegistry(r) {
 		v.index(&next)
+		if !sameAgents(old, &next) {
+			next.Steady = now
+		}
 		changed = true
 	}
 	if changed {
@@ -245,12 +347,26 @@
 	return true
 }
 
-// applyRegistry merges announcements. A list that may lack live agents removes none.
+// applyRegistry merges announcements. A leader that may lack live agents removes none. Once it
+// does not, those that it never told of are gone.
 func (v *View) applyRegistry(r *fleetwire.PollReply) bool {
 	if v.announced == nil {
-		v.announced = map[string]*fleetwire.Announcement{}
+		v.announced, v.terms = map[string]*fleetwire.Announcement{}, map[string]uint64{}
 	}
 	changed := false
+	for _, a := range r.GetAnnouncements() {
+		v.terms[a.GetAgent()] = r.GetTerm()
+	}
+	if r.GetComplete() && v.gathered != r.GetTerm() {
+		v.gathered = r.GetTerm()
+		for agent := range v.announced {
+			if v.terms[agent] != r.GetTerm() {
+				delete(v.announced, agent)
+				delete(v.terms, agent)
+				changed = true
+			}
+		}
+	}
 	if r.GetAll() && r.GetComplete() {
 		listed := map[string]bool{}
 		for _, a := range r.GetAnnouncements() {
@@ -259,6 +375,7 @@
 		for agent := range v.announced {
 			if !listed[agent] {
 				delete(v.announced, agent)
+				delete(v.terms, agent)
 				changed = true
 			}
 		}
@@ -266,6 +383,7 @@
 	for _, agent := range r.GetRemoved() {
 		if v.announced[agent] != nil {
 			delete(v.announced, agent)
+			delete(v.terms, agent)
 			changed = true
 		}
 	}
@@ -278,9 +396,26 @@
 	return changed
 }
 
+// sameAgents reports whether two states have the same incarnations of agents, and the same of
+// them are silent.
+func sameAgents(a, b *State) bool {
+	if len(a.Agents) != len(b.Agents) {
+		return false
+	}
+	for agent, x := range a.Agents {
+		y := b.Agents[agent]
+		if y == nil || x.Start != y.Start || x.Silent != y.Silent || x.Service != y.Service || x.Zone != y.Zone {
+			return false
+		}
+	}
+	return true
+}
+
 // index rebuilds the targets of a state.
 func (v *View) index(s *State) {
 	s.Targets, s.Agents = map[string][]*Target{}, map[netip.AddrPort]*Target{}
+	s.Roster++
+	zones := map[mangokeel.AvailabilityZone][]*Target{}
 	for _, a := range v.announced {
 		agent, err := netip.ParseAddrPort(a.GetAgent())
 		if err != nil || a.GetService() == "" {
@@ -288,14 +423,23 @@
 		}
 		t := &Target{
 			Agent: agent, Zone: mangokeel.AvailabilityZone(a.GetZone()), Service: a.GetService(),
-			Ready: a.GetState() == fleetwire.State_STATE_READY, Silent: a.GetState() == fleetwire.State_STATE_SILENT, Cold: a.GetCold(),
+			Ready: a.GetState() == fleetwire.State_STATE_READY, Silent: a.GetState() == fleetwire.State_STATE_SILENT, Cold: a.GetCold(), Aware: a.GetAware(),
 			Slots: int(a.GetLoad().GetSlots()), Start: a.GetStart(),
 			hash: xxhash.Sum64String(a.GetAgent()),
 		}
 		s.Targets[t.Service] = append(s.Targets[t.Service], t)
 		s.Agents[agent] = t
+		if !t.Silent {
+			zones[t.Zone] = append(zones[t.Zone], t)
+		}
 	}
+	byAgent := func(a, b *Target) int { return a.Agent.Compare(b.Agent) }
 	for _, list := range s.Targets {
-		slices.SortFunc(list, func(a, b *Target) int { return strings.Compare(a.Agent.String(), b.Agent.String()) })
+		slices.SortFunc(list, byAgent)
+	}
+	s.zones = nil
+	for _, name := range slices.Sorted(maps.Keys(zones)) {
+		slices.SortFunc(zones[name], byAgent)
+		s.zones = append(s.zones, zoneTargets{xxhash.Sum64String(string(name)), zones[name]})
 	}
 }
--- a/internal/fleetwire/fleetwire.go
+++ b/internal/fleetwire/fleetwire.go
@@ -16,7 +16,7 @@
 
 //go:generate sh -c "protoc --go_out=../.. --go_opt=module=mangokeel fleet.proto"
 
-// MaxHeader is the largest header in bytes: a walk past 128 agents fits.
+// MaxHeader is the largest header in bytes: a HOLD frame of 48 flows fits.
 const MaxHeader = 2048
 
 // ErrFrame marks a datagram that is not a frame.
--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -2,7 +2,6 @@
 
 import (
 	"net/netip"
-	"slices"
 	"sync"
 	"time"
 
@@ -31,10 +30,8 @@
 	passLimit = 4
 	// hintPeriod separates hints about one flow: callers retransmit after 200 ms.
 	hintPeriod = 150 * time.Millisecond
-	// lostLife is how long a flow that no agent knows is not looked for again.
+	// lostLife is how long the result of a search is remembered.
 	lostLife = time.Second
-	// walkLimit bounds the agents that a walk asks, so that frames stay below MaxHeader.
-	walkLimit = 96
 	// endGrace is the time between a target's last word and the resets of its flows.
 	endGrace = 300 * time.Millisecond
 )
@@ -48,6 +45,8 @@
 	Service string
 	// Start tells incarnations of the agent apart.
 	Start uint64
+	// Period is the time between the target's reports; 0 if it is not known.
+	Period time.Duration
 }
 
 // entry is what an agent knows of a flow.
@@ -80,6 +79,14 @@
 	hinted time.Time
 	// frame is how the opening packet came, until the target has accepted the flow.
 	frame *fleetwire.Frame
+	// established is set once the caller has gone on with a flow that the target accepted.
+	established bool
+	// told are the places that heard of the flow, toldRoster the roster that they were chosen
+	// by, and toldAt when all of them were last told.
+	told            []place
+	toldRoster      uint64
+	toldEstablished bool
+	toldAt          time.Time
 }
 
 func (e *entry) local() bool { return !e.owner.IsValid() }
@@ -90,8 +97,9 @@
 // open reports whether the target holds the flow, as far as is known.
 func (e *entry) open() bool { return e.accepted() && !e.closed }
 
-// offer is a walk that waits for the target's word.
+// offer is a packet of an unknown flow that the own target was given, and may return.
 type offer struct {
+	// frame is how the packet came from another agent's search, or nil for an own one.
 	frame *fleetwire.Frame
 	at    time.Time
 }
@@ -107,12 +115,18 @@
 	stall stall
 	flows map[mangokeel.Flow]*entry
 	// offers are packets of unknown flows that the target was asked about.
-	offers  map[mangokeel.Flow]offer
-	lost    map[mangokeel.Flow]time.Time
-	gate    gate
-	service service
-	queue   queue
-	loads   map[netip.AddrPort]*estimate
+	offers   map[mangokeel.Flow]offer
+	searches map[mangokeel.Flow]*search
+	lost     map[mangokeel.Flow]lost
+	// started is when the agent was, and completeAt when its view was first complete.
+	started, completeAt time.Time
+	// aware is set once the agent knows all flows of its target. fresh is set if it has known
+	// them since it started, so that the target did not outlive an earlier agent.
+	aware, fresh bool
+	gate         gate
+	service      service
+	queue        queue
+	loads        map[netip.AddrPort]*estimate
 	// busy and open count the local entries that are busy, and those that are accepted
 	// and not closed.
 	busy, open int
@@ -128,11 +142,13 @@
 
 // NewAgent returns an agent that decides by a view.
 func NewAgent(cfg AgentConfig, codec mangokeel.Codec, view *fleet.View, link Link, opts ...Option) *Agent {
-	return &Agent{
+	a := &Agent{
 		node: newNode(codec, view, link, opts), cfg: cfg, self: fleetwire.Address(cfg.Address),
-		flows: map[mangokeel.Flow]*entry{}, offers: map[mangokeel.Flow]offer{},
-		lost: map[mangokeel.Flow]time.Time{}, loads: map[netip.AddrPort]*estimate{},
+		flows: map[mangokeel.Flow]*entry{}, offers: map[mangokeel.Flow]offer{}, searches: map[mangokeel.Flow]*search{},
+		lost: map[mangokeel.Flow]lost{}, loads: map[netip.AddrPort]*estimate{},
 	}
+	a.started = a.now()
+	return a
 }
 
 // Frame takes a frame from a balancer or another agent.
@@ -150,8 +166,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	a.learn(x)
-	if x.GetKind() == fleetwire.Kind_KIND_HINT {
-		a.hint(x)
+	if a.message(s, x) {
 		return
 	}
 	p, err := a.codec.Parse(rest)
@@ -176,6 +191,23 @@
 	}
 }
 
+// message handles a frame without a packet, and reports whether it is one.
+func (a *Agent) message(s *fleet.State, x *fleetwire.Frame) bool {
+	switch x.GetKind() {
+	case fleetwire.Kind_KIND_HINT:
+		a.hint(s, x)
+	case fleetwire.Kind_KIND_ASK:
+		a.ask(s, x)
+	case fleetwire.Kind_KIND_UNKNOWN:
+		a.replied(s, flowOf(x), fleetwire.ParseAddress(x.GetOrigin()), x.GetSettled())
+	case fleetwire.Kind_KIND_HOLD:
+		a.hold(x)
+	default:
+		return false
+	}
+	return true
+}
+
 // opening handles the opening packet of a flow.
 func (a *Agent) opening(s *fleet.State, x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
 	now := a.now()
@@ -195,6 +227,7 @@
 		a.forget(f, e) // the caller uses the port again
 	}
 	delete(a.lost, f)
+	delete(a.searches, f)
 	a.place(s, x, f, p, raw)
 }
 
@@ -227,7 +260,7 @@
 	}
 	e.hinted = now
 	h := &fleetwire.Frame{
-		Kind: fleetwire.Kind_KIND_HINT, Origin: a.self, Opened: e.opened, Load: a.load(),
+		Kind: fleetwire.Kind_KIND_HINT, Origin: a.self, Opened: e.opened, Established: e.established, Load: a.load(),
 		Revision: a.view.State().Revision, Caller: fleetwire.Address(f.Caller), Address: fleetwire.Address(f.Address),
 	}
 	a.send(fleetwire.ParseAddress(x.GetOrigin()), h, nil)
@@ -269,6 +302,7 @@
 		a.toOwner(s, e, x, f, p, raw)
 		return
 	}
+	e.established = e.established || e.accepted()
 	a.asked(e, f, p, raw)
 	a.deliver(raw)
 	if len(x.GetPassed()) > 0 {
@@ -348,128 +382,35 @@
 	a.events.decide(Failed, f, "reason", reason, "after", now.Sub(e.asked), "ahead", e.ahead, "failing", a.service.failing)
 }
 
-// unknown looks for the owner of a flow: first at the own target, then at the agents that
-// have not been asked.
-func (a *Agent) unknown(s *fleet.State, x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
-	now := a.now()
-	if t, ok := a.lost[f]; ok && now.Sub(t) < lostLife {
-		a.events.count(Dropped)
-		return
-	}
-	route := s.Routes[f.Address]
-	if !x.GetWalk() {
-		x.Walk = true
-		a.walk(s, route, x, f)
-	}
-	a.events.decide(Walked, f, "request", lazyRequest{a.codec, raw}, "known", a.gate.known, "left", len(x.GetNext()), "sure", x.GetSure())
-	if a.mayHold(route) {
-		a.offers[f] = offer{x, now}
-		a.deliver(raw)
-		return
-	}
-	a.walkOn(x, f, p, raw)
-}
-
-// mayHold reports whether the own target can have flows of a route. Before the target's
-// first report, the settings say which service it has.
-func (a *Agent) mayHold(route *fleet.Route) bool {
-	own := a.cfg.Service
-	if a.gate.known {
-		own = a.gate.service
-	}
-	return route == nil || route.Allows(own) || slices.Contains(route.Former, own)
-}
-
-// walk lists in a frame the other agents that may have a flow, the likeliest first.
-func (a *Agent) walk(s *fleet.State, route *fleet.Route, x *fleetwire.Frame, f mangokeel.Flow) {
-	x.Next, x.Sure = nil, false
-	if route == nil {
-		return
-	}
-	x.Sure = s.Complete && s.Settled(a.now())
-	h := hashOf(f)
-	first := route.Choose(h)
-	services := []string{first}
-	for _, share := range route.Shares {
-		if share.Service != first {
-			services = append(services, share.Service)
-		}
-	}
-	for _, service := range route.Former {
-		if !route.Allows(service) {
-			services = append(services, service)
-		}
-	}
-	var list [][]byte
-	for _, service := range services {
-		a.order = s.Order(a.order[:0], service, mangokeel.AvailabilityZone(x.GetZone()), h)
-		for _, t := range a.order {
-			switch {
-			case t.Agent == a.cfg.Address || contains(x.GetPassed(), t.Agent):
-			case len(list) == walkLimit:
-				x.Sure = false
-			default:
-				list = append(list, fleetwire.Address(t.Agent))
-			}
-		}
-	}
-	x.Next = list
-}
-
-// walkOn passes a packet of an unknown flow to the next agent.
-func (a *Agent) walkOn(x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
-	if len(x.GetNext()) == 0 {
-		a.lose(x, f, p, raw)
-		return
-	}
-	to := fleetwire.ParseAddress(x.GetNext()[0])
-	x.Next = x.GetNext()[1:]
-	if len(x.GetPassed()) == 0 {
-		x.Passed = append(x.Passed, a.self) // the directory learns who answers
-	}
-	a.forward(to, x, raw)
-}
-
-// lose gives up a flow that no agent holds. If all were asked, its target has ended, and a
-// reset frees the caller.
-func (a *Agent) lose(x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
-	now, s := a.now(), a.view.State()
-	a.lost[f] = now
-	if p.Reset {
-		a.events.count(Dropped)
-		return
-	}
-	why := []any{
-		"reason", "no agent holds the flow", "sure", x.GetSure(), "complete", s.Complete, "revision", s.Revision,
-		"bytes", p.Size, "request",
-		lazyRequest{a.codec, raw},
-	}
-	if !x.GetSure() || !s.Complete || !s.Settled(now) {
-		a.events.decide(Lost, f, why...)
-		return
-	}
-	a.events.decide(Ended, f, why...)
-	a.link.Caller(f.Caller.Addr(), a.codec.Reset(p))
-}
-
-// hint notes who has a flow that this agent placed or was asked for.
-func (a *Agent) hint(x *fleetwire.Frame) {
+// hint notes who has a flow that this agent placed or asks for.
+func (a *Agent) hint(s *fleet.State, x *fleetwire.Frame) {
 	owner := fleetwire.ParseAddress(x.GetOrigin())
 	f := flowOf(x)
-	if !owner.IsValid() || owner == a.cfg.Address || !f.Caller.IsValid() {
+	if !owner.IsValid() || !f.Caller.IsValid() {
 		a.events.count(Malformed)
 		return
 	}
-	now := a.now()
-	if e := a.flows[f]; e != nil {
-		if e.local() {
-			a.forget(f, e)
-		} else {
-			e.owner, e.opened, e.seen = owner, x.GetOpened(), now
+	if q := a.searches[f]; q != nil {
+		self := owner == a.cfg.Address
+		q.denied = q.denied || self && x.GetEstablished()
+		switch {
+		case self || s.Agents[owner] == nil || contains(q.held[0].frame.GetPassed(), owner):
+			// The one that is named looks for the flow itself, has left, or has passed the
+			// packet on.
+			a.replied(s, f, lastPassed(x), self)
+			return
+		case q.own:
+			// The own target is likelier to have it than what may be an old word.
+			q.named = x
+			a.replied(s, f, lastPassed(x), false)
 			return
 		}
 	}
-	a.flows[f] = &entry{owner: owner, opened: x.GetOpened(), seen: now}
+	if owner == a.cfg.Address {
+		return // it has ended here meanwhile
+	}
+	a.owned(f, owner, x.GetOpened(), x.GetEstablished())
+	a.found(s, f)
 }
 
 // Target takes a packet that the target sent.
@@ -502,18 +443,20 @@
 			return
 		}
 		// The agent started after the flow, or it took the flow for another's.
-		e = &entry{acceptedAt: now}
+		e = &entry{acceptedAt: now, established: true}
 		a.flows[f] = e
 		a.open++
-		if x, ok := a.offers[f]; ok {
-			delete(a.offers, f)
+		if x, ok := a.offers[f]; ok && x.frame != nil {
 			a.tell(e, x.frame, f)
 		}
+		delete(a.offers, f)
+		a.found(a.view.State(), f)
 	}
 	e.seen = now
 	if p.Accepting && !e.accepted() {
 		e.acceptedAt, e.frame = now, nil
 		a.open++
+		a.tellFirst(f, e)
 	}
 	begins := p.Sequence == e.acknowledged
 	if p.Size > 0 {
@@ -556,8 +499,7 @@
 		return
 	}
 	if x, ok := a.offers[f]; ok {
-		delete(a.offers, f)
-		a.walkOn(x.frame, f, p, raw)
+		a.declined(s, f, x)
 		return
 	}
 	if e != nil && e.local() {
@@ -567,12 +509,10 @@
 			a.gate.forgot(a.now())
 		}
 	}
-	x := &fleetwire.Frame{
-		Kind: fleetwire.Kind_KIND_DATA, Revision: s.Revision, Zone: string(a.cfg.Zone),
-		Passed: [][]byte{a.self}, Walk: true,
+	x := &fleetwire.Frame{Kind: fleetwire.Kind_KIND_DATA, Revision: s.Revision, Zone: string(a.cfg.Zone), Passed: [][]byte{a.self}}
+	if a.searches[f] == nil {
+		a.search(s, x, f, p, raw, false)
 	}
-	a.walk(s, s.Routes[f.Address], x, f)
-	a.walkOn(x, f, p, raw)
 }
 
 func (a *Agent) setBusy(e *entry, busy bool) {
@@ -635,7 +575,8 @@
 	a.stall.observe(now)
 	a.advance()
 	a.expireQueue(now)
-	idle := a.view.State().Idle
+	s := a.view.State()
+	idle := s.Idle
 	if idle == 0 {
 		idle = idleDefault
 	}
@@ -652,16 +593,10 @@
 			a.forget(f, e)
 		}
 	}
-	for f, x := range a.offers {
-		if now.Sub(x.at) > lostLife {
-			delete(a.offers, f)
-		}
-	}
-	for f, t := range a.lost {
-		if now.Sub(t) > lostLife {
-			delete(a.lost, f)
-		}
-	}
+	a.aware = a.aware || now.Sub(a.started) > idle+idleSlack
+	a.observeView(s, now)
+	a.tellPlaces(s, now)
+	a.expireSearches(s, now)
 	if len(a.ends) > 0 && !now.Before(a.endAt) {
 		a.endFlows("target ended")
 	}
--- a/internal/packet/agent_test.go
+++ b/internal/packet/agent_test.go
@@ -99,6 +99,7 @@
 	for _, a := range []netip.AddrPort{self, other} {
 		r.Announcements = append(r.Announcements, &fleetwire.Announcement{
 			Agent: a.String(), Service: "s", State: fleetwire.State_STATE_READY, Start: 1, Serial: 1, Load: &fleetwire.Load{Slots: 2},
+			Aware: true,
 		})
 	}
 	return r
@@ -131,35 +132,75 @@
 	}
 }
 
-// Guards against resets of flows whose target may live: an agent that may lack others, or
-// a frame that an unsure agent sent on, must not end a flow.
+// Guards against resets of flows whose target may live: a flow counts as ended only if all that
+// may know it were asked, had to know it, and did not, twice.
 func TestLostFlowIsResetOnlyWhenSure(t *testing.T) {
-	unsure := reply(5, "s")
-	unsure.Complete = false
+	incomplete := reply(5, "s")
+	incomplete.Complete = false
 	silent := reply(5, "s")
 	silent.Announcements[1].State = fleetwire.State_STATE_SILENT
-	data := mangokeel.Packet{Sequence: 10, Acknowledged: 77, Size: 5}
-	for _, x := range []struct {
+	unaware := reply(5, "s")
+	unaware.Announcements[1].Aware = false
+	settled := func(x *fleetwire.Frame) *fleetwire.Frame {
+		return &fleetwire.Frame{Kind: fleetwire.Kind_KIND_UNKNOWN, Settled: true}
+	}
+	for _, y := range []struct {
 		name  string
 		reply *fleetwire.PollReply
-		frame *fleetwire.Frame
-		want  int
+		// answer is what the other agent answers to a frame, if anything.
+		answer func(x *fleetwire.Frame) *fleetwire.Frame
+		// deaf agents hear nothing more of control, and mute targets return nothing.
+		deaf, mute bool
+		want       int
 	}{
-		{"the last of a sure walk", reply(5, "s"), &fleetwire.Frame{Walk: true, Sure: true}, 1},
-		{"the last of an unsure walk", reply(5, "s"), &fleetwire.Frame{Walk: true}, 0},
-		{"an incomplete view", unsure, &fleetwire.Frame{Walk: true, Sure: true}, 0},
-		{"others to ask", reply(5, "s"), &fleetwire.Frame{}, 0},
-		{"a silent one to ask", silent, &fleetwire.Frame{}, 0},
+		{name: "all must know the flow and do not", reply: reply(5, "s"), answer: settled, want: 1},
+		{name: "a place that has just started", reply: reply(5, "s"), answer: func(*fleetwire.Frame) *fleetwire.Frame {
+			return &fleetwire.Frame{Kind: fleetwire.Kind_KIND_UNKNOWN}
+		}},
+		{name: "a place that does not answer", reply: reply(5, "s"), answer: func(*fleetwire.Frame) *fleetwire.Frame { return nil }},
+		{name: "an incomplete view", reply: incomplete, answer: settled},
+		{name: "an old view", reply: reply(5, "s"), answer: settled, deaf: true},
+		{name: "a silent agent", reply: silent, answer: func(*fleetwire.Frame) *fleetwire.Frame { return nil }},
+		{name: "an own target that says nothing", reply: reply(5, "s"), answer: settled, mute: true},
+		{name: "an agent that does not know its target's flows, whose target returns the packet", reply: unaware, answer: settled, want: 1},
+		{name: "one whose target says nothing", reply: unaware, answer: func(x *fleetwire.Frame) *fleetwire.Frame {
+			if x.GetOffer() {
+				return nil
+			}
+			return settled(x)
+		}},
 	} {
-		t.Run(x.name, func(t *testing.T) {
+		t.Run(y.name, func(t *testing.T) {
 			c := qt.New(t)
-			n := newNode(c, x.reply)
-			x.frame.Kind, x.frame.Revision = fleetwire.Kind_KIND_DATA, 5
-			n.frame(x.frame, data)
-			c.Assert(n.target, qt.HasLen, 1, qt.Commentf("the own target is asked first"))
-			n.returned(data)
-			c.Assert(n.resets, qt.HasLen, x.want)
-			if x.want > 0 {
+			data := mangokeel.Packet{Sequence: 10, Acknowledged: 77, Size: 5}
+			n := newNode(c, y.reply)
+			run := func(d time.Duration) {
+				for end := n.now.Add(d); n.now.Before(end); n.now = n.now.Add(50 * time.Millisecond) {
+					if !y.deaf {
+						n.view.Apply(y.reply, n.now)
+					}
+					n.agent.Sweep()
+					sent := n.headers
+					n.headers = nil
+					for _, x := range sent {
+						if out := y.answer(x); out != nil {
+							out.Origin, out.Caller, out.Address = fleetwire.Address(other), fleetwire.Address(caller), fleetwire.Address(model.Address)
+							b, err := fleetwire.Append(nil, out, nil)
+							c.Assert(err, qt.IsNil)
+							n.agent.Frame(b)
+						}
+					}
+				}
+			}
+			run(time.Second) // the agent itself is settled
+			n.data(data)
+			c.Assert(n.target, qt.HasLen, 1, qt.Commentf("the own target is asked as well"))
+			if !y.mute {
+				n.returned(data)
+			}
+			run(2 * time.Second)
+			c.Assert(n.resets, qt.HasLen, y.want)
+			if y.want > 0 {
 				c.Assert(n.resets[0].Sequence, qt.Equals, uint32(77))
 			}
 		})
--- a/internal/packet/balancer.go
+++ b/internal/packet/balancer.go
@@ -151,9 +151,11 @@
 		to = b.another(to, now)
 	}
 	b.openings[f] = opening{to.Agent, now}
-	if to != first {
-		// Agents do not tell about flows that they place as the first to be asked.
+	// The directory knows the flow, also when others come first in its order by then.
+	if len(b.hints) < hintLimit {
 		b.hints[f] = hint{to.Agent, now}
+	}
+	if to != first {
 		b.events.decide(Bypassed, f, "first", first.Agent, "to", to.Agent, "copy", p.Copy)
 	}
 	b.frame.Late = late
@@ -272,7 +274,7 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
-	if len(b.hints) >= hintLimit {
+	if _, ok := b.hints[f]; !ok && len(b.hints) >= hintLimit {
 		b.events.count(Dropped)
 		return
 	}
--- a/internal/packet/events.go
+++ b/internal/packet/events.go
@@ -38,8 +38,8 @@
 	Queued
 	// Refused flows ended with a reset before anything ran.
 	Refused
-	// Walked packets belong to flows that this agent does not know.
-	Walked
+	// Searched packets belong to flows that this agent does not know.
+	Searched
 	// Lost packets belong to flows that no agent knows.
 	Lost
 	// Ended flows were reset because their target ended.
@@ -53,7 +53,7 @@
 func (e Event) String() string {
 	return [...]string{
 		"forwarded", "delivered", "returned", "answered", "opened", "asked", "dropped", "malformed", "bypassed",
-		"passed", "queued", "refused", "walked", "lost", "ended", "failed",
+		"passed", "queued", "refused", "searched", "lost", "ended", "failed",
 	}[e]
 }
 
--- a/internal/packet/events_test.go
+++ b/internal/packet/events_test.go
@@ -67,7 +67,7 @@
 		if i%3 == 0 {
 			n.returned(p)
 		}
-		n.frame(&fleetwire.Frame{Kind: fleetwire.Kind_KIND_DATA, Revision: 5, Walk: true, Sure: i%2 == 0}, mangokeel.Packet{Sequence: 1, Size: 1})
+		n.frame(&fleetwire.Frame{Kind: fleetwire.Kind_KIND_DATA, Revision: 5}, mangokeel.Packet{Sequence: 1, Size: 1})
 		n.returned(mangokeel.Packet{Sequence: 1, Size: 1})
 		b.Caller(model.Codec{}.Encode(mangokeel.Packet{Source: caller, Destination: caller, Opening: true}))
 		for k := range 3 {
@@ -84,12 +84,15 @@
 		n.answer(mangokeel.Packet{Size: 1, Failed: true})
 		n.answer(mangokeel.Packet{Final: true})
 	}
-	a.Report(packet.Report{ID: "j", Born: now, Service: "s", Slots: 1, Serial: 1})
+	n.frame(open(5))
+	n.answer(mangokeel.Packet{Accepting: true})
+	now = now.Add(time.Millisecond)
+	a.Report(packet.Report{ID: "j", Born: now, Service: "s", Slots: 1, Serial: 1}) // ends the flow
 	count := counted(c, events)
-	for _, e := range []packet.Event{packet.Refused, packet.Passed, packet.Lost, packet.Ended, packet.Bypassed, packet.Queued, packet.Walked, packet.Failed} {
+	for _, e := range []packet.Event{packet.Refused, packet.Passed, packet.Lost, packet.Ended, packet.Bypassed, packet.Queued, packet.Searched, packet.Failed} {
 		c.Assert(lines[e.String()], qt.Equals, count[e.String()], qt.Commentf("%v", e))
 	}
-	for _, e := range []packet.Event{packet.Refused, packet.Passed, packet.Ended, packet.Bypassed, packet.Walked, packet.Failed} {
+	for _, e := range []packet.Event{packet.Refused, packet.Passed, packet.Ended, packet.Bypassed, packet.Searched, packet.Failed} {
 		c.Assert(count[e.String()] > 0, qt.IsTrue, qt.Commentf("%v does not occur", e))
 	}
 }
--- a/internal/packet/fleet_test.go
+++ b/internal/packet/fleet_test.go
@@ -149,6 +149,26 @@
 	c.Assert(inAim >= asked*95/100, qt.IsTrue, qt.Commentf("%d of %d in aim from 4 s after the outage", inAim, asked))
 }
 
+// Guards against targets that are busy with callers who are late already while others become
+// late. Load pattern: an outage of two seconds of a fleet at four tenths of its capacity, cold
+// targets, all callers at once: the requests of the first second after it.
+func TestInTimeFirstAfterOutage(t *testing.T) {
+	c := qt.New(t)
+	asked, inAim := 0, 0
+	for seed := range uint64(10) {
+		m := newFleet(30 + seed)
+		m.Load(load(380, 8*time.Second))
+		m.Run(2 * time.Second)
+		outage(m)
+		x, y := during(m, time.Second)
+		asked, inAim = asked+x, inAim+y
+		m.Run(6 * time.Second)
+		check(c, m)
+	}
+	t.Logf("%d of %d in aim", inAim, asked)
+	c.Assert(inAim >= asked/2, qt.IsTrue, qt.Commentf("%d of %d in aim", inAim, asked))
+}
+
 // outage ends all agents for two seconds, after which they and their targets start, cold.
 func outage(m *model.Fleet) {
 	for _, h := range m.Hosts {
--- a/internal/packet/gate.go
+++ b/internal/packet/gate.go
@@ -44,6 +44,12 @@
 	Serial uint64
 }
 
+// first reports whether no earlier agent can have heard a report of the incarnation, so that it
+// holds no flow. Targets repeat reports that fail at once, and wait for a period after others.
+func (r Report) first(now time.Time, period time.Duration) bool {
+	return r.Serial <= 1 || r.Serial <= freshReports && now.Sub(r.Born) < period/2
+}
+
 // gate decides whether the target takes new flows.
 type gate struct {
 	// known is set once the target has reported; gone once it said that it ends.
@@ -178,13 +184,17 @@
 	switch {
 	case same && (g.gone || r.Serial <= g.serial):
 		return !g.gone // overtaken by a later word
-	case same || !g.known:
+	case same:
+	case !g.known:
+		a.fresh = r.first(now, a.cfg.Period)
+		a.aware = a.aware || a.fresh
 	case !r.Born.After(g.born) && now.Sub(g.heard) < silentAfter:
 		return false
 	default:
 		a.events.change("target started again", "id", r.ID, "before", g.id, "flows", a.open)
 		a.endBefore(now.Add(-max(0, now.Sub(r.Born))))
 		a.endFlows("target started again")
+		a.aware = true
 	}
 	a.observeZone(a.view.State())
 	if !g.known || g.id != r.ID || g.ready == r.Draining || g.gone {
@@ -234,11 +244,12 @@
 	x := &fleetwire.Announcement{
 		Agent: a.cfg.Address.String(), Zone: string(a.cfg.Zone), Service: g.service,
 		State: fleetwire.State_STATE_DRAINING, Load: a.load(), Cold: g.coldNow(a.now()), Start: a.cfg.Start,
+		Aware: a.aware,
 	}
 	if g.ready {
 		x.State = fleetwire.State_STATE_READY
 	}
-	if o := a.said; o == nil || o.Service != x.Service || o.State != x.State || o.Cold != x.Cold ||
+	if o := a.said; o == nil || o.Service != x.Service || o.State != x.State || o.Cold != x.Cold || o.Aware != x.Aware ||
 		o.GetLoad().GetSlots() != x.GetLoad().GetSlots() {
 		a.serial++
 	}
--- a/internal/packet/queue.go
+++ b/internal/packet/queue.go
@@ -18,23 +18,29 @@
 	waitMost = 150 * time.Millisecond
 	// targetDefault is the target time of routes that have none.
 	targetDefault = 100 * time.Millisecond
+	// firstCopy and secondCopy are how old the copies of an opening packet are that callers send.
+	firstCopy  = 200 * time.Millisecond
+	secondCopy = 600 * time.Millisecond
 	// queueLimit is how many opening packets may wait for each slot.
 	queueLimit = 16
 )
 
 // waiting is an opening packet that waits until its target can take it.
 type waiting struct {
-	frame    *fleetwire.Frame
-	flow     mangokeel.Flow
-	packet   mangokeel.Packet
-	raw      []byte
+	frame  *fleetwire.Frame
+	flow   mangokeel.Flow
+	packet mangokeel.Packet
+	raw    []byte
+	// late is set if the answer cannot come within the route's target time any more.
+	late     bool
 	priority int
 	since    time.Time
 	until    time.Time
 }
 
-// queue holds opening packets, the most urgent first and the oldest first among equals.
-// Waiting is better than a refusal in a short overload: callers repeat refused requests
+// queue holds opening packets: those first whose answers can still come in time, then the most
+// urgent, then the oldest. After an outage all callers come at once, and most of them are late
+// already: serving those first would make the others late as well. Waiting is better than a refusal in a short overload: callers repeat refused requests
 // within milliseconds and have few repetitions.
 type queue struct {
 	list []waiting
@@ -45,10 +51,29 @@
 	return slices.ContainsFunc(q.list, func(w waiting) bool { return w.flow == f })
 }
 
-// add puts w behind all that are as urgent.
+// before reports whether w comes before v, whenever they came.
+func (w *waiting) before(v *waiting) bool {
+	if w.late != v.late {
+		return v.late
+	}
+	return w.priority < v.priority
+}
+
+// age returns how old an opening packet is by what its sender says, at least.
+func age(p mangokeel.Packet) time.Duration {
+	switch p.Copy {
+	case 0:
+		return 0
+	case 1:
+		return firstCopy
+	}
+	return secondCopy
+}
+
+// add puts w behind all that do not come after it.
 func (q *queue) add(w waiting) {
 	i := len(q.list)
-	for i > 0 && q.list[i-1].priority > w.priority {
+	for i > 0 && w.before(&q.list[i-1]) {
 		i--
 	}
 	q.list = slices.Insert(q.list, i, w)
@@ -97,9 +122,12 @@
 	if route := a.view.State().Routes[f.Address]; route != nil {
 		d, priority = targetOf(route), route.Priority
 	}
+	late := age(p) >= d
 	d = min(d/waitShare, waitMost)
 	a.events.decide(Queued, f, "busy", a.busy, "slots", a.gate.slots, "ahead", len(a.queue.list), "at_most", d)
-	a.queue.add(waiting{x, f, p, slices.Clone(raw), priority, a.now(), a.now().Add(d)})
+	a.queue.add(waiting{
+		frame: x, flow: f, packet: p, raw: slices.Clone(raw), late: late, priority: priority, since: a.now(), until: a.now().Add(d),
+	})
 	return true
 }
 
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -91,8 +91,10 @@
 	// Outbound is where the target sends its packets, Target where it takes packets.
 	Outbound netip.AddrPort `yaml:"outbound"`
 	Target   netip.AddrPort `yaml:"target"`
-	// Reports is where the target reports.
+	// Reports is where the target reports, and Period the time between its reports; 0 if it is
+	// not known.
 	Reports netip.AddrPort `yaml:"reports"`
+	Period  Duration       `yaml:"period"`
 	// Ready answers checks.
 	Ready netip.AddrPort `yaml:"ready"`
 	// Status serves /metrics and /dump.
@@ -108,6 +110,7 @@
 	return first(
 		needName("name", s.Name), needName("zone", s.Zone), needAddr("data", s.Data), needAddr("outbound", s.Outbound),
 		needAddr("target", s.Target), needAddr("reports", s.Reports), optionalAddr("ready", s.Ready),
+		fault(s.Period >= 0, "period", "%v is negative", s.Period.Value()),
 		optionalAddr("status", s.Status), checkMemory(s.Memory), s.Lines.check(), s.Cluster.check(),
 	)
 }
--- a/standin/model/fleet.go
+++ b/standin/model/fleet.go
@@ -59,6 +59,8 @@
 	// held has what reached the agent while it was suspended.
 	suspended bool
 	held      []func()
+	// heard is when control last heard of the agent.
+	heard time.Time
 }
 
 // Balancer is a balancer of the fleet.
@@ -98,6 +100,9 @@
 	Services []*fleetwire.Service
 	Zones    []*fleetwire.ZoneState
 
+	// Frames counts the frames between nodes, PeakFrames the most within one second.
+	Frames, PeakFrames int
+
 	// Logger gets the decisions of nodes that start later.
 	Logger log.Logger
 
@@ -107,6 +112,9 @@
 	next    uint32
 	faults  []string
 	frozen  map[netip.AddrPort]bool
+	// lastFrames is Frames at the last full second; hosts finds a host by its agent.
+	lastFrames int
+	hosts      map[netip.AddrPort]*Host
 }
 
 // NewFleet returns a fleet without nodes that has one route to a service "s".
@@ -116,6 +124,7 @@
 		rand:    rand.New(rand.NewPCG(seed, 0)),
 		callers: map[netip.AddrPort]*caller{},
 		frozen:  map[netip.AddrPort]bool{},
+		hosts:   map[netip.AddrPort]*Host{},
 		Logger:  log.NewNopLogger(),
 	}
 	m.Complete, m.Revision = true, 1
@@ -126,6 +135,10 @@
 	m.timers.Every(pollPeriod, func(time.Time) { m.Poll() })
 	m.timers.Every(sweepPeriod, func(time.Time) { m.sweep() })
 	m.timers.Every(checkPeriod, func(time.Time) { m.check() })
+	m.timers.Every(time.Second, func(time.Time) {
+		m.PeakFrames = max(m.PeakFrames, m.Frames-m.lastFrames)
+		m.lastFrames = m.Frames
+	})
 	return m
 }
 
@@ -166,6 +179,7 @@
 		fleet: m, number: m.next << 16,
 	}
 	m.Hosts = append(m.Hosts, h)
+	m.hosts[h.Agent] = h
 	h.StartTarget(cfg)
 	h.StartAgent()
 	m.timers.Every(reportPeriod, func(time.Time) { h.Report() })
@@ -188,10 +202,11 @@
 	h.StopAgent()
 	h.starts++
 	h.view = &fleet.View{}
-	h.agent = packet.NewAgent(packet.AgentConfig{Address: h.Agent, Zone: h.Zone, Service: h.Target.cfg.Service, Start: h.starts},
+	h.agent = packet.NewAgent(packet.AgentConfig{Address: h.Agent, Zone: h.Zone, Service: h.Target.cfg.Service, Start: h.starts, Period: reportPeriod},
 		Codec{}, h.view, hostLink{h.fleet, h}, packet.WithClock(h.fleet.Now),
 		packet.WithEvents(packet.NewEvents(h.fleet.logger(h.Agent), packet.WithLines(allLines))))
 	h.Report()
+	h.heard = h.fleet.Now()
 	h.fleet.poll(h.view)
 }
 
@@ -260,12 +275,24 @@
 	}
 }
 
+// Move makes all callers of a zone reach the balancers of another one.
+func (m *Fleet) Move(from, to mangokeel.AvailabilityZone) {
+	for _, c := range m.callers {
+		if c.cfg.Zone == from {
+			c.cfg.Zone = to
+		}
+	}
+}
+
 // Freeze stops a node from getting frames, or lets it get them again.
 func (m *Fleet) Freeze(agent netip.AddrPort, frozen bool) { m.frozen[agent] = frozen }
 
 // Poll brings all nodes up to date now.
 func (m *Fleet) Poll() {
 	for _, h := range m.Hosts {
+		if h.agent != nil && !h.suspended {
+			h.heard = m.Now()
+		}
 		h.reach(func() { m.poll(h.view) })
 	}
 	for _, b := range m.Balancers {
@@ -292,6 +319,13 @@
 		Leading: true, Desired: m.Revision, Whole: true, Routes: m.Routes, Services: m.Services, Zones: m.Zones,
 		Term: 1, All: true, Complete: m.Complete,
 	}
+	oldest := m.Now()
+	for _, h := range m.Hosts {
+		if (h.agent != nil || !h.Target.ended) && h.heard.Before(oldest) {
+			oldest = h.heard
+		}
+	}
+	r.HeardMs = uint64(m.Now().Sub(oldest).Milliseconds())
 	for _, h := range m.Hosts {
 		// A lease outlasts a short absence of the agent.
 		if h.Target.ended && h.agent == nil {
@@ -327,14 +361,13 @@
 	if m.frozen[to] || m.rand.Float64() < m.Loss {
 		return
 	}
+	m.Frames++
 	b = append([]byte(nil), b...)
-	for _, h := range m.Hosts {
-		if h.Agent == to {
-			m.after(m.delay(from, h.Zone), func() {
-				h.reach(func() { h.agent.Frame(b) })
-			})
-			return
-		}
+	if h := m.hosts[to]; h != nil {
+		m.after(m.delay(from, h.Zone), func() {
+			h.reach(func() { h.agent.Frame(b) })
+		})
+		return
 	}
 	for _, x := range m.Balancers {
 		if x.address == to && !x.CutOff {
