--- a/internal/packet/agent_test.go
+++ b/internal/packet/agent_test.go
@@ -141,7 +141,7 @@
 	silent.Announcements[1].State = fleetwire.State_STATE_SILENT
 	unaware := reply(5, "s")
 	unaware.Announcements[1].Aware = false
-	settled := func(x *fleetwire.Frame) *fleetwire.Frame {
+	settled := func(*fleetwire.Frame) *fleetwire.Frame {
 		return &fleetwire.Frame{Kind: fleetwire.Kind_KIND_UNKNOWN, Settled: true}
 	}
 	for _, y := range []struct {
