fleet: after an outage one host that does not come back holds up nobody

Hosts that were replaced during the outage stayed on the list, so the registry counted as incomplete for 6 s.

Change: agents tell that they started together with their targets. If nine in ten of the list did, the registry is complete 1 s after the leadership began; nodes are woken when it becomes complete.

--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -21,6 +21,13 @@
 	// gathering is how long a new leader waits for agents on the list that do not announce
 	// themselves: as long as an agent may be silent, and one slow fetch of the whole state.
 	gathering = lease + wholeTimeout
+	// gatheringAnew is the same after an outage of the whole deployment. Agents and targets that
+	// come back announce themselves within a report period, 0.8 s, and a search for the leader.
+	// Those that do not have lost their flows with the others.
+	gatheringAnew = time.Second
+	// anew is the share of agents that started together with their targets which shows such an
+	// outage: all but those of one host in ten.
+	anew = 0.9
 	// agePeriod is how often the leader looks for the agent that it has not heard of for the
 	// longest time.
 	agePeriod = 20 * time.Millisecond
@@ -62,6 +69,8 @@
 	listed map[string]bool
 	// missing are the agents on the list that have not announced themselves in this term.
 	missing map[string]bool
+	// gathered is set once nodes were woken because the registry is complete.
+	gathered bool
 	// first is set while the list was empty when the term began: the first agents of a
 	// deployment are not on it.
 	first bool
@@ -85,7 +94,7 @@
 	}
 	g.term, g.began, g.revision = term, now, 0
 	g.records, g.removals, g.dropped = map[string]*record{}, nil, 0
-	g.listed, g.missing = nil, nil
+	g.listed, g.missing, g.gathered = nil, nil, false
 	g.notify()
 	g.relist()
 }
@@ -174,7 +183,22 @@
 	case now.Sub(g.began) > gathering:
 		return true
 	}
-	return !g.first && len(g.missing) == 0
+	if g.first || len(g.missing) == 0 {
+		return !g.first
+	}
+	return now.Sub(g.began) > gatheringAnew && g.startedAnew()
+}
+
+// startedAnew reports whether nearly all agents on the list have just started together with
+// their targets.
+func (g *registry) startedAnew() bool {
+	fresh := 0
+	for agent, r := range g.records {
+		if g.listed[agent] && r.a.GetFresh() {
+			fresh++
+		}
+	}
+	return float64(fresh) >= anew*float64(len(g.listed))
 }
 
 func (g *registry) notify() {
@@ -232,10 +256,14 @@
 }
 
 // expire marks the records whose lease has ended, returns their agents, and removes those
-// that have been silent for long.
+// that have been silent for long. It also tells waiting nodes once the registry is complete.
 func (g *registry) expire(now time.Time) (ended []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
+	if !g.gathered && g.complete(now) {
+		g.gathered = true
+		g.notify()
+	}
 	for agent, r := range g.records {
 		switch silent := now.Sub(r.heard); {
 		case silent > forgotten:
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -155,6 +155,32 @@
 	c.Assert(f.v.State().Agents, qt.HasLen, 2)
 }
 
+// Guards against callers that wait for six seconds after an outage because one host did not come
+// back, and against a registry that counts as complete early after a mere change of the leader.
+func TestOutageWithoutOneAgent(t *testing.T) {
+	for _, x := range []struct {
+		fresh    int
+		complete bool
+	}{{9, true}, {8, false}, {0, false}} {
+		c := qt.New(t)
+		now := time.Now()
+		var list []string
+		for i := range 10 {
+			list = append(list, addr(i).String())
+		}
+		g := newRegistry()
+		lead(g, 1, now, list...)
+		for i, agent := range list[1:] {
+			a := announcement(agent, 1)
+			a.Fresh = i < x.fresh
+			g.hear(a, now)
+		}
+		c.Assert(g.complete(now.Add(gatheringAnew)), qt.IsFalse)
+		c.Assert(g.complete(now.Add(gatheringAnew+time.Millisecond)), qt.Equals, x.complete)
+		c.Assert(g.complete(now.Add(gathering+time.Millisecond)), qt.IsTrue)
+	}
+}
+
 // Guards against a registry that counts as complete while the first agents of a deployment,
 // which are on no list yet, announce themselves.
 func TestFirstAgentsAreAwaited(t *testing.T) {
--- a/internal/packet/gate.go
+++ b/internal/packet/gate.go
@@ -244,7 +244,7 @@
 	x := &fleetwire.Announcement{
 		Agent: a.cfg.Address.String(), Zone: string(a.cfg.Zone), Service: g.service,
 		State: fleetwire.State_STATE_DRAINING, Load: a.load(), Cold: g.coldNow(a.now()), Start: a.cfg.Start,
-		Aware: a.aware,
+		Aware: a.aware, Fresh: a.fresh && a.now().Sub(a.started) < restartTime,
 	}
 	if g.ready {
 		x.State = fleetwire.State_STATE_READY
