--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -147,7 +147,7 @@
 		flows: map[mangokeel.Flow]*entry{}, offers: map[mangokeel.Flow]offer{}, searches: map[mangokeel.Flow]*search{},
 		lost: map[mangokeel.Flow]lost{}, loads: map[netip.AddrPort]*estimate{},
 	}
-	a.started = a.now()
+	a.started, a.stall.suspended = a.now(), a.suspended
 	return a
 }
 
@@ -165,6 +165,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	late, stale := a.stall.observe(a.now())
 	a.learn(x)
 	if a.message(s, x) {
 		return
@@ -175,7 +176,6 @@
 		return
 	}
 	f := mangokeel.Flow{Caller: p.Source, Address: p.Destination}
-	late, stale := a.stall.observe(a.now())
 	switch x.GetKind() {
 	case fleetwire.Kind_KIND_OPEN:
 		if stale {
@@ -422,6 +422,7 @@
 	}
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	a.stall.observe(a.now())
 	a.gate.spoke(a.now())
 	if p.Returned {
 		a.returned(p, raw)
--- a/internal/packet/agent_test.go
+++ b/internal/packet/agent_test.go
@@ -132,6 +132,9 @@
 	}
 }
 
+// touch is for how long an agent may rely on what control told it.
+const touch = 2 * time.Second
+
 // Guards against resets of flows whose target may live: a flow counts as ended only if all that
 // may know it were asked, had to know it, and did not, twice.
 func TestLostFlowIsResetOnlyWhenSure(t *testing.T) {
@@ -149,9 +152,10 @@
 		reply *fleetwire.PollReply
 		// answer is what the other agent answers to a frame, if anything.
 		answer func(x *fleetwire.Frame) *fleetwire.Frame
-		// deaf agents hear nothing more of control, and mute targets return nothing.
-		deaf, mute bool
-		want       int
+		// deaf agents hear nothing more of control, mute targets return nothing, and stopped
+		// processes go on after a while without having heard of control since.
+		deaf, mute, stopped bool
+		want                int
 	}{
 		{name: "all must know the flow and do not", reply: reply(5, "s"), answer: settled, want: 1},
 		{name: "a place that has just started", reply: reply(5, "s"), answer: func(*fleetwire.Frame) *fleetwire.Frame {
@@ -160,6 +164,7 @@
 		{name: "a place that does not answer", reply: reply(5, "s"), answer: func(*fleetwire.Frame) *fleetwire.Frame { return nil }},
 		{name: "an incomplete view", reply: incomplete, answer: settled},
 		{name: "an old view", reply: reply(5, "s"), answer: settled, deaf: true},
+		{name: "a process that was stopped", reply: reply(5, "s"), answer: settled, stopped: true},
 		{name: "a silent agent", reply: silent, answer: func(*fleetwire.Frame) *fleetwire.Frame { return nil }},
 		{name: "an own target that says nothing", reply: reply(5, "s"), answer: settled, mute: true},
 		{name: "an agent that does not know its target's flows, whose target returns the packet", reply: unaware, answer: settled, want: 1},
@@ -174,22 +179,25 @@
 			c := qt.New(t)
 			data := mangokeel.Packet{Sequence: 10, Acknowledged: 77, Size: 5}
 			n := newNode(c, y.reply)
+			answers := func() {
+				sent := n.headers
+				n.headers = nil
+				for _, x := range sent {
+					if out := y.answer(x); out != nil {
+						out.Origin, out.Caller, out.Address = fleetwire.Address(other), fleetwire.Address(caller), fleetwire.Address(model.Address)
+						b, err := fleetwire.Append(nil, out, nil)
+						c.Assert(err, qt.IsNil)
+						n.agent.Frame(b)
+					}
+				}
+			}
 			run := func(d time.Duration) {
 				for end := n.now.Add(d); n.now.Before(end); n.now = n.now.Add(50 * time.Millisecond) {
 					if !y.deaf {
 						n.view.Apply(y.reply, n.now)
 					}
 					n.agent.Sweep()
-					sent := n.headers
-					n.headers = nil
-					for _, x := range sent {
-						if out := y.answer(x); out != nil {
-							out.Origin, out.Caller, out.Address = fleetwire.Address(other), fleetwire.Address(caller), fleetwire.Address(model.Address)
-							b, err := fleetwire.Append(nil, out, nil)
-							c.Assert(err, qt.IsNil)
-							n.agent.Frame(b)
-						}
-					}
+					answers()
 				}
 			}
 			run(time.Second) // the agent itself is settled
@@ -198,6 +206,11 @@
 			if !y.mute {
 				n.returned(data)
 			}
+			if y.stopped {
+				n.now = n.now.Add(touch / 2)
+				y.deaf = true
+				answers() // they have waited in the socket
+			}
 			run(2 * time.Second)
 			c.Assert(n.resets, qt.HasLen, y.want)
 			if y.want > 0 {
--- a/internal/packet/balancer.go
+++ b/internal/packet/balancer.go
@@ -75,10 +75,12 @@
 
 // NewBalancer returns a balancer that decides by a view.
 func NewBalancer(cfg BalancerConfig, codec mangokeel.Codec, view *fleet.View, link Link, opts ...Option) *Balancer {
-	return &Balancer{
+	b := &Balancer{
 		node: newNode(codec, view, link, opts), cfg: cfg, origin: fleetwire.Address(cfg.Hints),
 		hints: map[mangokeel.Flow]hint{}, openings: map[mangokeel.Flow]opening{}, patience: map[netip.AddrPort]*patience{},
 	}
+	b.stall.suspended = b.suspended
+	return b
 }
 
 // Caller takes a packet from a caller.
--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -52,6 +52,8 @@
 	now    func() time.Time
 	events *Events
 	newer  func()
+	// suspended is what stall.suspended says.
+	suspended func() time.Duration
 }
 
 // Option changes a Balancer or an Agent.
@@ -66,6 +68,10 @@
 // WithNewer sets a function that is called when another node has a newer configuration.
 func WithNewer(fn func()) Option { return func(n *node) { n.newer = fn } }
 
+// WithSuspended sets a function that returns for how long the instance has been suspended since
+// it started.
+func WithSuspended(fn func() time.Duration) Option { return func(n *node) { n.suspended = fn } }
+
 func newNode(codec mangokeel.Codec, view *fleet.View, link Link, opts []Option) node {
 	n := node{
 		codec: codec, view: view, link: link, now: time.Now,
--- a/internal/packet/places.go
+++ b/internal/packet/places.go
@@ -155,6 +155,9 @@
 		return false
 	case !a.fresh && now.Sub(a.started) < restartTime:
 		return false
+	case now.Sub(a.stall.woke) < settleTime: // what owners told meanwhile may be lost
+		return false
 	}
-	return now.Sub(a.view.Heard()) < touchTime
+	heard := a.view.Heard()
+	return now.Sub(heard) < touchTime && a.stall.since(heard)
 }
--- a/internal/packet/search.go
+++ b/internal/packet/search.go
@@ -293,7 +293,8 @@
 // agrees reports whether the present look says that the flow has ended.
 func (a *Agent) agrees(s *fleet.State, q *search) bool {
 	now := a.now()
-	complete := s.Complete && now.Sub(a.view.Heard()) < touchTime && now.Sub(a.view.AllHeard()) < hearTime
+	heard := a.view.Heard()
+	complete := s.Complete && now.Sub(heard) < touchTime && a.stall.since(heard) && now.Sub(a.view.AllHeard()) < hearTime
 	return complete && !q.own && q.places > 0 && q.unknowing == q.places && (q.steady || q.heard)
 }
 
--- a/internal/packet/stall_test.go
+++ b/internal/packet/stall_test.go
@@ -5,6 +5,8 @@
 	"time"
 
 	qt "github.com/frankban/quicktest"
+
+	"mangokeel/internal/timer"
 )
 
 // Guards against a process that takes itself for stopped although it ran, or packets for late
@@ -29,3 +31,18 @@
 	observe(staleTime+1, true, true)
 	observe(drainTime, false, false)
 }
+
+// Guards against a process that takes itself for current after its instance was suspended: the
+// steady clock does not count that time. A jump of the time of day is none.
+func TestSuspendedInstance(t *testing.T) {
+	c := qt.New(t)
+	var slept time.Duration
+	s := stall{suspended: func() time.Duration { return slept }}
+	s.observe(time.Now())
+	c.Assert(s.suspension(time.Millisecond, 5*time.Second), qt.Equals, time.Duration(0))
+	slept = 4 * time.Second
+	c.Assert(s.suspension(time.Millisecond, 5*time.Second), qt.Equals, slept)
+	c.Assert(s.suspension(time.Millisecond, 5*time.Second), qt.Equals, time.Duration(0), qt.Commentf("it counts once"))
+	c.Assert(s.suspension(5*time.Second, 5*time.Second), qt.Equals, time.Duration(0))
+	c.Assert(timer.Suspended() >= 0, qt.IsTrue)
+}
