--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -69,7 +69,7 @@
 	listed map[string]bool
 	// missing are the agents on the list that have not announced themselves in this term.
 	missing map[string]bool
-	// gathered is set once nodes were woken because the registry is complete.
+	// gathered is set once the agents that are missing had the time to announce themselves.
 	gathered bool
 	// first is set while the list was empty when the term began: the first agents of a
 	// deployment are not on it.
@@ -149,7 +149,7 @@
 
 // listChange returns what the list lacks and what it has too much. What is about to leave the
 // list counts as left: if it comes back meanwhile, it must be listed again.
-func (g *registry) listChange(now time.Time) (joined, left []string) {
+func (g *registry) listChange() (joined, left []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	if g.listed == nil {
@@ -160,9 +160,8 @@
 			joined = append(joined, agent)
 		}
 	}
-	gathered := now.Sub(g.began) > gathering
 	for agent := range g.listed {
-		if g.records[agent] == nil && (gathered || !g.missing[agent]) {
+		if g.records[agent] == nil && !g.missing[agent] {
 			left = append(left, agent)
 		}
 	}
@@ -176,17 +175,24 @@
 
 // complete reports whether every agent that may hold flows was heard of, or had the time to
 // announce itself.
-func (g *registry) complete(now time.Time) bool {
-	switch {
-	case g.listed == nil:
-		return false
-	case now.Sub(g.began) > gathering:
-		return true
+func (g *registry) complete() bool {
+	return g.gathered || g.listed != nil && !g.first && len(g.missing) == 0
+}
+
+// gather ends the wait for missing agents. Those that are cut off or slow may still hold flows:
+// they count as silent, and leave after as long as others.
+func (g *registry) gather(now time.Time) {
+	if since := now.Sub(g.began); g.gathered || g.listed == nil || since <= gathering && (since <= gatheringAnew || !g.startedAnew()) {
+		return
 	}
-	if g.first || len(g.missing) == 0 {
-		return !g.first
+	g.gathered = true
+	g.revision++
+	for agent := range g.missing {
+		a := &fleetwire.Announcement{Agent: agent, State: fleetwire.State_STATE_SILENT}
+		g.records[agent] = &record{a: a, revision: g.revision, heard: g.began}
 	}
-	return now.Sub(g.began) > gatheringAnew && g.startedAnew()
+	clear(g.missing)
+	g.notify()
 }
 
 // startedAnew reports whether nearly all agents on the list have just started together with
@@ -256,14 +262,11 @@
 }
 
 // expire marks the records whose lease has ended, returns their agents, and removes those
-// that have been silent for long. It also tells waiting nodes once the registry is complete.
+// that have been silent for long. It also ends the wait for missing agents.
 func (g *registry) expire(now time.Time) (ended []string) {
 	g.mu.Lock()
 	defer g.mu.Unlock()
-	if !g.gathered && g.complete(now) {
-		g.gathered = true
-		g.notify()
-	}
+	g.gather(now)
 	for agent, r := range g.records {
 		switch silent := now.Sub(r.heard); {
 		case silent > forgotten:
@@ -294,7 +297,7 @@
 	g.mu.Lock()
 	defer g.mu.Unlock()
 	out.Term, out.Registry = g.term, g.revision
-	out.Complete = g.complete(now)
+	out.Complete = g.complete()
 	out.HeardMs = uint64(g.oldest(now).Milliseconds())
 	out.All = term != g.term || revision < g.dropped || revision > g.revision
 	if out.GetAll() {
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"net/netip"
 	"testing"
 	"time"
 
@@ -59,9 +60,37 @@
 	c.Assert(f.v.State().Complete, qt.IsFalse)
 
 	now = now.Add(gathering + time.Millisecond)
+	g.hear(announcement(agentA, 1), now)
+	g.expire(now)
 	f.poll(g, now)
 	c.Assert(f.v.State().Complete, qt.IsTrue)
+	c.Assert(f.v.State().Agents, qt.HasLen, 2)
+	c.Assert(f.v.State().Agents[netip.MustParseAddrPort(agentB)].Silent, qt.IsTrue, qt.Commentf("it may be slow to report"))
+	g.hear(announcement(agentB, 1), now)
+	f.poll(g, now)
+	c.Assert(f.v.State().Agents[netip.MustParseAddrPort(agentB)].Ready, qt.IsTrue)
+}
+
+// Guards against a target that left under the old leader and stays for ever.
+func TestMissingAgentLeaves(t *testing.T) {
+	c := qt.New(t)
+	now := time.Now()
+	old := newRegistry()
+	lead(old, 1, now.Add(-time.Minute), agentA)
+	old.hear(announcement(agentA, 1), now)
+	f := &follow{}
+	f.poll(old, now)
+	g := newRegistry()
+	lead(g, 2, now, agentA)
+	g.expire(now.Add(gathering + time.Millisecond))
+	f.poll(g, now.Add(gathering+time.Millisecond))
 	c.Assert(f.v.State().Agents, qt.HasLen, 1)
+	now = now.Add(forgotten + time.Millisecond)
+	g.expire(now)
+	f.poll(g, now)
+	c.Assert(f.v.State().Agents, qt.HasLen, 0)
+	_, left := g.listChange()
+	c.Assert(left, qt.DeepEquals, []string{agentA})
 }
 
 // Guards against flows that are given up because their agent was cut off from control for
@@ -175,9 +204,12 @@
 			a.Fresh = i < x.fresh
 			g.hear(a, now)
 		}
-		c.Assert(g.complete(now.Add(gatheringAnew)), qt.IsFalse)
-		c.Assert(g.complete(now.Add(gatheringAnew+time.Millisecond)), qt.Equals, x.complete)
-		c.Assert(g.complete(now.Add(gathering+time.Millisecond)), qt.IsTrue)
+		g.expire(now.Add(gatheringAnew))
+		c.Assert(g.complete(), qt.IsFalse)
+		g.expire(now.Add(gatheringAnew + time.Millisecond))
+		c.Assert(g.complete(), qt.Equals, x.complete)
+		g.expire(now.Add(gathering + time.Millisecond))
+		c.Assert(g.complete(), qt.IsTrue)
 	}
 }
 
@@ -194,7 +226,9 @@
 	f.poll(g, now)
 	c.Assert(f.v.State().Agents, qt.HasLen, 1)
 	c.Assert(f.v.State().Complete, qt.IsFalse)
-	f.poll(g, now.Add(gathering+time.Millisecond))
+	now = now.Add(gathering + time.Millisecond)
+	g.expire(now)
+	f.poll(g, now)
 	c.Assert(f.v.State().Complete, qt.IsTrue)
 }
 
@@ -210,7 +244,7 @@
 	f := &follow{}
 	f.poll(g, now)
 	c.Assert(f.v.State().Agents, qt.HasLen, 1)
-	joined, left := g.listChange(now)
+	joined, left := g.listChange()
 	c.Assert(joined, qt.DeepEquals, []string{agentB})
 	c.Assert(left, qt.HasLen, 0)
 	g.list(1, []string{agentA, agentB})
@@ -218,14 +252,14 @@
 	c.Assert(f.v.State().Agents, qt.HasLen, 2)
 
 	g.remove(agentA)
-	joined, left = g.listChange(now)
+	joined, left = g.listChange()
 	c.Assert(joined, qt.HasLen, 0)
 	c.Assert(left, qt.DeepEquals, []string{agentA})
 	g.hear(announcement(agentA, 2), now) // it comes back before the change is accepted
 	g.list(1, []string{agentB})
 	f.poll(g, now)
 	c.Assert(f.v.State().Agents, qt.HasLen, 1)
-	joined, _ = g.listChange(now)
+	joined, _ = g.listChange()
 	c.Assert(joined, qt.DeepEquals, []string{agentA})
 }
 
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -264,7 +264,7 @@
 		}
 		s.registry.list(st.Term, s.desired.Agents())
 	}
-	joined, left := s.registry.listChange(s.timers.Now())
+	joined, left := s.registry.listChange()
 	if len(joined)+len(left) == 0 {
 		return
 	}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -10,6 +10,7 @@
 	"time"
 
 	"github.com/cespare/xxhash/v2"
+	"google.golang.org/protobuf/proto"
 
 	"mangokeel"
 	"mangokeel/internal/fleetwire"
@@ -389,6 +390,14 @@
 	}
 	for _, a := range r.GetAnnouncements() {
 		old := v.announced[a.GetAgent()]
+		if a.GetService() == "" { // the leader has not heard of it, but a former one had
+			if old == nil {
+				continue
+			}
+			silent := proto.CloneOf(old)
+			silent.State = a.GetState()
+			a = silent
+		}
 		v.announced[a.GetAgent()] = a
 		changed = changed || old == nil || old.GetSerial() != a.GetSerial() ||
 			old.GetStart() != a.GetStart() || old.GetState() != a.GetState()
