packet: an agent whose clock has gone back does not take its target for new

Cause, found on reading: a target whose start lies in the future of the agent's clock counted as born a moment ago. TestAwareness covers what an agent concludes from a first report.

--- a/internal/packet/agent_test.go
+++ b/internal/packet/agent_test.go
@@ -405,6 +405,39 @@
 	}
 }
 
+// Guards against an agent that takes itself for one that knows all flows of its target although
+// an earlier one may have opened some: flows would be reset that the target holds.
+func TestAwareness(t *testing.T) {
+	const period = 800 * time.Millisecond
+	for _, x := range []struct {
+		name   string
+		age    time.Duration
+		serial uint64
+		aware  bool
+	}{
+		{"first report", 5 * time.Second, 1, true},
+		{"repeated at once", 200 * time.Millisecond, 3, true},
+		{"after one that was heard", period, 2, false},
+		{"old", time.Minute, 70, false},
+		{"old, and its clock has gone back", 100 * time.Millisecond, 70, false},
+		{"born in the future", -time.Second, 2, false},
+	} {
+		c := qt.New(t)
+		now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+		a := packet.NewAgent(packet.AgentConfig{Address: self, Service: "s", Period: period}, model.Codec{}, &fleet.View{}, &sent{},
+			packet.WithClock(func() time.Time { return now }))
+		report := packet.Report{ID: "i", Born: now.Add(-x.age), Service: "s", Slots: 2, Serial: x.serial}
+		a.Report(report)
+		c.Assert(a.Announcement().GetAware(), qt.Equals, x.aware, qt.Commentf("%s", x.name))
+		c.Assert(a.Announcement().GetFresh(), qt.Equals, x.aware, qt.Commentf("%s", x.name))
+		report.ID, report.Born = "j", now.Add(2*time.Second)
+		a.Report(report)
+		c.Assert(a.Announcement().GetAware(), qt.IsTrue, qt.Commentf("it has seen the former one end"))
+		now = now.Add(time.Minute)
+		c.Assert(a.Announcement().GetFresh(), qt.IsFalse)
+	}
+}
+
 // Guards against a repeated packet of an answered request that counts as work in progress, or
 // as a request that the caller gives up with its last packet.
 func TestRepeatedRequestIsNoWork(t *testing.T) {
--- a/internal/packet/gate.go
+++ b/internal/packet/gate.go
@@ -46,8 +46,10 @@
 
 // first reports whether no earlier agent can have heard a report of the incarnation, so that it
 // holds no flow. Targets repeat reports that fail at once, and wait for a period after others.
+// Serials begin with 1.
 func (r Report) first(now time.Time, period time.Duration) bool {
-	return r.Serial <= 1 || r.Serial <= freshReports && now.Sub(r.Born) < period/2
+	age := now.Sub(r.Born)
+	return r.Serial == 1 || r.Serial <= freshReports && age >= 0 && age < period/2
 }
 
 // gate decides whether the target takes new flows.
