--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -390,21 +390,8 @@
 		a.events.count(Malformed)
 		return
 	}
-	if q := a.searches[f]; q != nil {
-		self := owner == a.cfg.Address
-		q.denied = q.denied || self && x.GetEstablished()
-		switch {
-		case self || s.Agents[owner] == nil || contains(q.held[0].frame.GetPassed(), owner):
-			// The one that is named looks for the flow itself, has left, or has passed the
-			// packet on.
-			a.replied(s, f, lastPassed(x), self)
-			return
-		case q.own:
-			// The own target is likelier to have it than what may be an old word.
-			q.named = x
-			a.replied(s, f, lastPassed(x), false)
-			return
-		}
+	if a.namedInVain(s, x, f, owner) {
+		return
 	}
 	if owner == a.cfg.Address {
 		return // it has ended here meanwhile
--- a/internal/packet/search.go
+++ b/internal/packet/search.go
@@ -235,6 +235,29 @@
 	a.searchOn(s, f, q)
 }
 
+// namedInVain handles an answer that names a flow's owner, and reports whether a search under way
+// does not follow it, or not yet.
+func (a *Agent) namedInVain(s *fleet.State, x *fleetwire.Frame, f mangokeel.Flow, owner netip.AddrPort) bool {
+	q := a.searches[f]
+	if q == nil {
+		return false
+	}
+	self := owner == a.cfg.Address
+	q.denied = q.denied || self && x.GetEstablished()
+	switch {
+	case self || s.Agents[owner] == nil || contains(q.held[0].frame.GetPassed(), owner):
+		// The one that is named looks for the flow itself, has left, or has passed the packet on.
+		a.replied(s, f, lastPassed(x), self)
+		return true
+	case q.own:
+		// The own target is likelier to have it than what may be an old word.
+		q.named = x
+		a.replied(s, f, lastPassed(x), false)
+		return true
+	}
+	return false
+}
+
 // found ends a search: the flow's owner is known by now.
 func (a *Agent) found(s *fleet.State, f mangokeel.Flow) {
 	q, e := a.searches[f], a.flows[f]
