--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -44,8 +44,6 @@
 	mu sync.Mutex
 	// gone is an announcement to end.
 	gone string
-	// heard is when a leader last answered.
-	heard time.Time
 	// refresh ends the poll under way if control may hold it open; again makes the next one
 	// return at once. A poll that returns at once is never ended, or news that come
 	// faster than polls return would starve them all.
@@ -129,9 +127,7 @@
 
 // Heard returns when a leader last answered; the zero value if never.
 func (f *Follower) Heard() time.Time {
-	f.mu.Lock()
-	defer f.mu.Unlock()
-	return f.heard
+	return f.view.Heard()
 }
 
 // round sends one poll.
@@ -264,7 +260,6 @@
 	f.view.Apply(out, time.Now())
 	f.term, f.registry = out.GetTerm(), out.GetRegistry()
 	f.mu.Lock()
-	f.heard = time.Now()
 	if f.gone == req.GetGone() {
 		f.gone = ""
 	}
--- a/internal/packet/places.go
+++ b/internal/packet/places.go
@@ -46,7 +46,9 @@
 			a.tellFlow(s, frames, f, e, again)
 		}
 	}
-	a.sendHoldings(frames)
+	for to, x := range frames {
+		a.send(to, x, nil)
+	}
 }
 
 // tellFirst tells the first places of a flow that the own target has accepted it. It is called
@@ -97,12 +99,6 @@
 	e.told = told
 }
 
-func (a *Agent) sendHoldings(frames holdings) {
-	for to, x := range frames {
-		a.send(to, x, nil)
-	}
-}
-
 // hold takes over which flows another agent's target holds.
 func (a *Agent) hold(x *fleetwire.Frame) {
 	owner := fleetwire.ParseAddress(x.GetOrigin())
