fleet: a node tries all control instances in turn until one can be reached

Ruled out: a shorter time-out for the question itself (small instances may be slow; the question waits for an election under way); asking all at once (three times the calls at an election). Change: before the question, connections are tried a fraction of the patience apart, each for a quarter of it, again and again; the first that opens is used.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -21,10 +21,13 @@
 const (
 	// callTimeout is pollHold and a generous round trip.
 	callTimeout = pollHold + 400*time.Millisecond
-	// searchTimeout bounds the first question for the leader, since instances without
-	// power do not answer at all. Each round without an answer doubles it up to
-	// callTimeout, since small instances may be slow.
+	// searchTimeout bounds the first question for the leader, and the time to reach one of the
+	// instances. Each round without an answer doubles it up to callTimeout, since small
+	// instances may be slow.
 	searchTimeout = 150 * time.Millisecond
+	// connectShare is the part of it in which one instance is reached. One without power does not
+	// answer at all, and once it is back it has forgotten who tried before.
+	connectShare = 4
 	// wholeTimeout bounds the poll that fetches the whole state.
 	wholeTimeout = 3 * time.Second
 	// followPause separates polls that found no leader, from one's begin to that of the next.
@@ -133,15 +136,11 @@
 // round sends one poll.
 func (f *Follower) round() {
 	f.began = time.Now()
-	addr := f.pick()
-	if !addr.IsValid() {
-		f.rest()
-		return
-	}
 	if !f.leader.IsValid() {
-		f.search(addr)
+		f.seek()
 		return
 	}
+	addr := f.leader
 	timeout := callTimeout
 	if !f.connected {
 		timeout = wholeTimeout
@@ -179,6 +178,79 @@
 	}
 }
 
+// seek asks the first instance that can be reached who leads.
+func (f *Follower) seek() {
+	list := f.candidates()
+	if len(list) == 0 {
+		f.rest()
+		return
+	}
+	addr, err := f.reach(list)
+	if err != nil {
+		f.lost(list[0], err)
+		f.patience = min(2*f.patience, callTimeout)
+		return
+	}
+	f.search(addr)
+}
+
+// candidates returns the instances in the order in which to ask them: the one that is named as
+// the leader, then the others, beginning with another one each time.
+func (f *Follower) candidates() (list []netip.AddrPort) {
+	if f.named.IsValid() {
+		list = append(list, f.named)
+		f.named = netip.AddrPort{}
+	}
+	all := slices.Concat(f.seeds(), f.known)
+	f.next++
+	for i := range all {
+		if a := all[(f.next+i)%len(all)]; !slices.Contains(list, a) {
+			list = append(list, a)
+		}
+	}
+	return list
+}
+
+// connector is a Remote that can open connections ahead of calls.
+type connector interface {
+	Connect(ctx context.Context, addr netip.AddrPort) error
+}
+
+// reach returns the first instance that a connection can be opened to. It tries them in turn and
+// does not wait for one before it tries the next, again and again while the patience lasts.
+func (f *Follower) reach(list []netip.AddrPort) (netip.AddrPort, error) {
+	remote, ok := f.remote.(connector)
+	if !ok {
+		return list[0], nil
+	}
+	ctx, cancel := context.WithTimeout(f.ctx, f.patience)
+	defer cancel()
+	reached := make(chan netip.AddrPort, 1)
+	each := f.patience / connectShare
+	t := time.NewTicker(each / time.Duration(len(list)))
+	defer t.Stop()
+	for i := 0; ; i++ {
+		addr := list[i%len(list)]
+		go func() {
+			ctx, cancel := context.WithTimeout(ctx, each)
+			defer cancel()
+			if remote.Connect(ctx, addr) == nil {
+				select {
+				case reached <- addr:
+				default:
+				}
+			}
+		}()
+		select {
+		case a := <-reached:
+			return a, nil
+		case <-ctx.Done():
+			return netip.AddrPort{}, errors.Wrapf(ctx.Err(), "none of %d control instances can be reached", len(list))
+		case <-t.C:
+		}
+	}
+}
+
 // search asks an instance who leads.
 func (f *Follower) search(addr netip.AddrPort) {
 	ctx, cancel := context.WithTimeout(f.ctx, f.patience)
@@ -199,23 +271,6 @@
 	}
 }
 
-// pick returns where to poll: the leader if one is known.
-func (f *Follower) pick() netip.AddrPort {
-	if f.leader.IsValid() {
-		return f.leader
-	}
-	if a := f.named; a.IsValid() {
-		f.named = netip.AddrPort{}
-		return a
-	}
-	list := slices.Concat(f.seeds(), f.known)
-	if len(list) == 0 {
-		return netip.AddrPort{}
-	}
-	f.next++
-	return list[f.next%len(list)]
-}
-
 // rest waits until the next poll may begin.
 func (f *Follower) rest() {
 	t := time.NewTimer(followPause - time.Since(f.began))
--- a/internal/fleet/follower_test.go
+++ b/internal/fleet/follower_test.go
@@ -157,3 +157,73 @@
 		})
 	}
 }
+
+// dark is control without power until a time: nothing answers, not even a connection.
+type dark struct {
+	slowControl
+	until time.Time
+	// tries counts the connections that were tried.
+	tries atomic.Int64
+}
+
+func (d *dark) Connect(ctx context.Context, _ netip.AddrPort) error {
+	if time.Now().Before(d.until) { // what was sent into the dark stays unanswered
+		d.tries.Add(1)
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return nil
+}
+
+func (d *dark) Call(ctx context.Context, a netip.AddrPort, method string, req, resp proto.Message) error {
+	if err := d.Connect(ctx, a); err != nil {
+		return err
+	}
+	return d.slowControl.Call(ctx, a, method, req, resp)
+}
+
+// Guards against nodes that wait for instances without power, one after the other and ever longer,
+// while these are back. Load pattern: an outage in which the nodes start before control.
+func TestControlIsFoundOnceItIsBack(t *testing.T) {
+	c := qt.New(t)
+	control := &dark{until: time.Now().Add(500 * time.Millisecond)}
+	v := &View{}
+	seeds := []netip.AddrPort{addr(1), addr(2), addr(3)}
+	f := NewFollower(v, control, "n", func() []netip.AddrPort { return seeds })
+	defer f.Close()
+	for v.State().Revision == 0 && time.Since(control.until) < wholeTimeout {
+		time.Sleep(time.Millisecond)
+	}
+	const most = searchTimeout + followPause
+	c.Assert(time.Since(control.until) < most, qt.IsTrue, qt.Commentf("%v after control is back", time.Since(control.until)))
+	c.Assert(control.tries.Load() < 60, qt.IsTrue, qt.Commentf("%d connections tried", control.tries.Load()))
+}
+
+// Guards against a node that follows one instance which takes connections and answers nothing.
+func TestFrozenInstanceIsLeft(t *testing.T) {
+	c := qt.New(t)
+	control := &half{frozen: addr(2)}
+	v := &View{}
+	f := NewFollower(v, control, "n", func() []netip.AddrPort { return []netip.AddrPort{addr(1), addr(2), addr(3)} })
+	defer f.Close()
+	for end := time.Now().Add(wholeTimeout); v.State().Revision == 0 && time.Now().Before(end); {
+		time.Sleep(time.Millisecond)
+	}
+	c.Assert(v.State().Revision > 0, qt.IsTrue)
+}
+
+// half is control of which one instance is frozen.
+type half struct {
+	slowControl
+	frozen netip.AddrPort
+}
+
+func (h *half) Connect(context.Context, netip.AddrPort) error { return nil }
+
+func (h *half) Call(ctx context.Context, a netip.AddrPort, method string, req, resp proto.Message) error {
+	if a == h.frozen {
+		<-ctx.Done()
+		return ctx.Err()
+	}
+	return h.slowControl.Call(ctx, a, method, req, resp)
+}
--- a/internal/jsonrpc/jsonrpc.go
+++ b/internal/jsonrpc/jsonrpc.go
@@ -215,6 +215,12 @@
 	return errors.Wrapf(err, "call %s at %s", method, addr)
 }
 
+// Connect opens a connection to addr for later calls, unless there is one.
+func (c *Client) Connect(ctx context.Context, addr netip.AddrPort) error {
+	_, err := c.conn(ctx, addr)
+	return err
+}
+
 func (c *Client) conn(ctx context.Context, addr netip.AddrPort) (*jsonrpc2.Conn, error) {
 	c.mu.Lock()
 	conn := c.conns[addr]
