--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -118,6 +118,7 @@
 	offers   map[mangokeel.Flow]offer
 	searches map[mangokeel.Flow]*search
 	lost     map[mangokeel.Flow]lost
+	roll     roll
 	// started is when the agent was, and completeAt when its view was first complete.
 	started, completeAt time.Time
 	// aware is set once the agent knows all flows of its target. fresh is set if it has known
@@ -166,6 +167,7 @@
 	a.mu.Lock()
 	defer a.mu.Unlock()
 	late, stale := a.stall.observe(a.now())
+	a.sendCalls(a.now())
 	a.learn(x)
 	if a.message(s, x) {
 		return
@@ -199,7 +201,9 @@
 	case fleetwire.Kind_KIND_ASK:
 		a.ask(s, x)
 	case fleetwire.Kind_KIND_UNKNOWN:
-		a.replied(s, flowOf(x), fleetwire.ParseAddress(x.GetOrigin()), x.GetSettled())
+		a.unknowing(s, x)
+	case fleetwire.Kind_KIND_CALL:
+		a.called(s, x)
 	case fleetwire.Kind_KIND_HOLD:
 		a.hold(x)
 	default:
@@ -585,6 +589,7 @@
 	a.observeView(s, now)
 	a.tellPlaces(s, now)
 	a.expireSearches(s, now)
+	a.sendCalls(now)
 	if len(a.ends) > 0 && !now.Before(a.endAt) {
 		a.endFlows("target ended")
 	}
--- a/internal/packet/agent_test.go
+++ b/internal/packet/agent_test.go
@@ -144,8 +144,8 @@
 	silent.Announcements[1].State = fleetwire.State_STATE_SILENT
 	unaware := reply(5, "s")
 	unaware.Announcements[1].Aware = false
-	settled := func(*fleetwire.Frame) *fleetwire.Frame {
-		return &fleetwire.Frame{Kind: fleetwire.Kind_KIND_UNKNOWN, Settled: true}
+	knowing := func(x *fleetwire.Frame) *fleetwire.Frame {
+		return &fleetwire.Frame{Kind: fleetwire.Kind_KIND_UNKNOWN, Aware: true, Settled: true, Holdings: x.GetHoldings()}
 	}
 	for _, y := range []struct {
 		name  string
@@ -157,22 +157,22 @@
 		deaf, mute, stopped bool
 		want                int
 	}{
-		{name: "all must know the flow and do not", reply: reply(5, "s"), answer: settled, want: 1},
+		{name: "all must know the flow and do not", reply: reply(5, "s"), answer: knowing, want: 1},
 		{name: "a place that has just started", reply: reply(5, "s"), answer: func(*fleetwire.Frame) *fleetwire.Frame {
 			return &fleetwire.Frame{Kind: fleetwire.Kind_KIND_UNKNOWN}
 		}},
 		{name: "a place that does not answer", reply: reply(5, "s"), answer: func(*fleetwire.Frame) *fleetwire.Frame { return nil }},
-		{name: "an incomplete view", reply: incomplete, answer: settled},
-		{name: "an old view", reply: reply(5, "s"), answer: settled, deaf: true},
-		{name: "a process that was stopped", reply: reply(5, "s"), answer: settled, stopped: true},
+		{name: "an incomplete view", reply: incomplete, answer: knowing},
+		{name: "an old view", reply: reply(5, "s"), answer: knowing, deaf: true},
+		{name: "a process that was stopped", reply: reply(5, "s"), answer: knowing, stopped: true},
 		{name: "a silent agent", reply: silent, answer: func(*fleetwire.Frame) *fleetwire.Frame { return nil }},
-		{name: "an own target that says nothing", reply: reply(5, "s"), answer: settled, mute: true},
-		{name: "an agent that does not know its target's flows, whose target returns the packet", reply: unaware, answer: settled, want: 1},
+		{name: "an own target that says nothing", reply: reply(5, "s"), answer: knowing, mute: true},
+		{name: "an agent that does not know its target's flows, whose target returns the packet", reply: unaware, answer: knowing, want: 1},
 		{name: "one whose target says nothing", reply: unaware, answer: func(x *fleetwire.Frame) *fleetwire.Frame {
 			if x.GetOffer() {
 				return nil
 			}
-			return settled(x)
+			return knowing(x)
 		}},
 	} {
 		t.Run(y.name, func(t *testing.T) {
--- a/internal/packet/search.go
+++ b/internal/packet/search.go
@@ -62,9 +62,10 @@
 
 const (
 	// looking searches wait for the places' answers, offering ones for agents that do not know
-	// all flows of their targets, and pausing ones for the next look.
+	// all flows of their targets, calling ones for all others, and pausing ones for the next look.
 	looking phase = iota
 	offering
+	calling
 	pausing
 )
 
@@ -73,12 +74,15 @@
 // their targets hold, because they have started again. The number of places does not depend on
 // the size of the fleet, and that of the others is bounded for each packet.
 //
-// A flow counts as ended if all of its places answer, do not know it, and would know it; if no
-// other agent may hold it without knowing; and if this agent's view is complete and recent.
-// The first places hear of a flow before its caller does, the last a little later. So besides,
-// all nodes must have had the same places for a while; or control must have heard of all agents
-// since the search began, when they have had the time to tell. A flow also counts as ended if the
-// target that had it returns its packet.
+// Places may not know of a flow: what owners tell them can be lost, and they may have started
+// since. So a flow only counts as ended if its places do not know it, if no other agent may hold it
+// without knowing, if this agent's view is complete and recent, and if one of these holds:
+//   - each agent of its services has said that its target does not hold it;
+//   - in a service of many agents, the places would know it, and all nodes have had the same places
+//     for so long, or control has heard of all agents since, that each owner had the time to tell
+//     all of them.
+//
+// A flow also counts as ended if the target that had it returns its packet.
 type search struct {
 	packet mangokeel.Packet
 	began  time.Time
@@ -90,18 +94,22 @@
 	until time.Time
 	// awaited are the agents whose answers are due in this phase.
 	awaited []netip.AddrPort
-	// places counts the places of the present look, unknowing those of them whose answers say
-	// that the flow has no owner.
-	places, unknowing int
-	looks             int
+	// places counts the places of the present look, unknowing those that do not know an owner, and
+	// settled those of them that would.
+	places, unknowing, settled int
+	looks                      int
+	// complete is set if the view was at the beginning of the present look.
+	complete bool
 	// steady is set if all nodes have had the same places for a while, and heard if all agents
 	// had the time to tell of the flow, before the present look.
 	steady, heard bool
 	// named is the answer of a place while the own target is asked.
 	named *fleetwire.Frame
-	// agreed is set if the present look says that the flow has ended, and denied once the own
-	// target, which had it, returned its packet.
-	agreed, denied bool
+	// denied is set once the own target, which had the flow, returned its packet.
+	denied bool
+	// absent are the agents that know all flows of their targets, and that this is none of them.
+	// A flow does not come to a target later than its caller's first packet with data.
+	absent map[netip.AddrPort]bool
 	// returned are the agents whose targets were offered the packet and returned it. offered is
 	// set if none was left out that may hold the flow without knowing it.
 	returned map[netip.AddrPort]bool
@@ -143,7 +151,10 @@
 		a.events.count(Dropped)
 		return
 	}
-	q := &search{packet: p, began: a.now(), held: []held{{x, slices.Clone(raw)}}, own: own, returned: map[netip.AddrPort]bool{}}
+	q := &search{
+		packet: p, began: a.now(), held: []held{{x, slices.Clone(raw)}}, own: own,
+		absent: map[netip.AddrPort]bool{}, returned: map[netip.AddrPort]bool{},
+	}
 	if l := a.lost[f]; l.returned != nil {
 		q.returned = l.returned
 	}
@@ -161,12 +172,13 @@
 	q.phase, q.until = looking, now.Add(lookTime)
 	q.looks++
 	q.named = nil
+	q.complete = s.Complete
 	q.steady = now.Sub(s.Steady) >= settleTime
 	if q.heard = !a.view.AllHeard().Before(q.began.Add(tellTime)); !q.heard && !q.steady {
 		a.newer()
 	}
 	a.order = s.Places(a.order[:0], hashOf(f))
-	q.awaited, q.places, q.unknowing, q.batches = nil, len(a.order), 0, 0
+	q.awaited, q.places, q.unknowing, q.settled, q.batches = nil, len(a.order), 0, 0, 0
 	a.events.decide(Searched, f, "request", lazyRequest{a.codec, q.held[0].raw}, "places", q.places, "look", q.looks,
 		"complete", s.Complete, "roster", s.Roster)
 	x := a.about(fleetwire.Kind_KIND_ASK, s, f)
@@ -174,8 +186,11 @@
 		if t.Agent != a.cfg.Address {
 			q.awaited = append(q.awaited, t.Agent)
 			a.send(t.Agent, x, nil)
-		} else if a.settled(s) {
-			q.unknowing++
+			continue
+		}
+		q.unknowing++
+		if a.settled(s) {
+			q.settled++
 		}
 	}
 	a.searchOn(s, f, q)
@@ -200,22 +215,52 @@
 		a.sayUnknown(s, from, f, a.settled(s))
 		return
 	}
-	out := a.about(fleetwire.Kind_KIND_HINT, s, f)
-	out.Opened, out.Established, out.Passed = e.opened, e.established, [][]byte{a.self}
+	a.name(s, from, f, e)
+}
+
+// name tells an agent who holds a flow.
+func (a *Agent) name(s *fleet.State, to netip.AddrPort, f mangokeel.Flow, e *entry) {
+	x := a.about(fleetwire.Kind_KIND_HINT, s, f)
+	x.Opened, x.Established, x.Passed = e.opened, e.established, [][]byte{a.self}
 	if !e.local() {
-		out.Origin = fleetwire.Address(e.owner)
+		x.Origin = fleetwire.Address(e.owner)
 	}
-	a.send(from, out, nil)
+	a.send(to, x, nil)
 }
 
 func (a *Agent) sayUnknown(s *fleet.State, to netip.AddrPort, f mangokeel.Flow, settled bool) {
 	x := a.about(fleetwire.Kind_KIND_UNKNOWN, s, f)
-	x.Settled = settled
+	x.Settled, x.Aware = settled, a.aware
 	a.send(to, x, nil)
 }
 
-// replied notes that an agent has answered a search, and whether its answer says that the flow
-// has no owner.
+// unknowing takes over that another agent does not know who holds a flow, or, in an answer to a
+// CALL frame, that its target does not hold some.
+func (a *Agent) unknowing(s *fleet.State, x *fleetwire.Frame) {
+	from := fleetwire.ParseAddress(x.GetOrigin())
+	f := flowOf(x)
+	if q := a.searches[f]; q != nil {
+		q.absent[from] = q.absent[from] || x.GetAware()
+		if q.phase == looking && x.GetSettled() {
+			q.settled++
+		}
+		a.replied(s, f, from, q.phase == looking || x.GetSettled())
+	}
+	for _, h := range x.GetHoldings() {
+		f := mangokeel.Flow{Caller: fleetwire.ParseAddress(h.GetCaller()), Address: fleetwire.ParseAddress(h.GetAddress())}
+		q := a.searches[f]
+		if q == nil || !x.GetAware() {
+			continue
+		}
+		q.absent[from] = true
+		if q.phase == calling {
+			a.replied(s, f, from, true)
+		}
+	}
+}
+
+// replied notes that an agent has answered a search, and whether its answer says that it knows no
+// owner, or that its target has returned the packet.
 func (a *Agent) replied(s *fleet.State, f mangokeel.Flow, from netip.AddrPort, unknowing bool) {
 	q := a.searches[f]
 	if q == nil {
@@ -227,9 +272,10 @@
 	}
 	q.awaited = slices.Delete(q.awaited, i, i+1)
 	switch {
-	case q.phase == offering && unknowing:
+	case !unknowing:
+	case q.phase == offering:
 		q.returned[from] = true
-	case unknowing:
+	case q.phase == looking:
 		q.unknowing++
 	}
 	a.searchOn(s, f, q)
@@ -295,41 +341,51 @@
 			a.hint(s, q.named)
 			return
 		}
-		q.agreed = a.agrees(s, q)
 		if !a.offer(s, f, q) {
-			a.next(s, f, q)
+			a.callRoll(s, f, q)
 		}
 	case offering:
 		if !over && len(q.awaited) > 0 {
 			return
 		}
 		if over || q.batches == offerBatches || !a.offer(s, f, q) {
+			a.callRoll(s, f, q)
+		}
+	case calling:
+		if over || len(q.awaited) == 0 {
 			a.next(s, f, q)
 		}
 	case pausing:
-		if over {
+		if over || s.Complete && !q.complete {
 			a.look(s, f, q)
 		}
 	}
 }
 
-// agrees reports whether the present look says that the flow has ended.
-func (a *Agent) agrees(s *fleet.State, q *search) bool {
-	now := a.now()
-	heard := a.view.Heard()
-	complete := s.Complete && now.Sub(heard) < touchTime && a.stall.since(heard) && now.Sub(a.view.AllHeard()) < hearTime
-	return complete && !q.own && q.places > 0 && q.unknowing == q.places && (q.steady || q.heard)
-}
-
 // next pauses before the next look, or ends the search.
 func (a *Agent) next(s *fleet.State, f mangokeel.Flow, q *search) {
-	if ended := q.agreed && q.offered || q.denied && !q.own; ended || q.looks == lookLimit {
+	ended := q.denied && !q.own || q.offered && a.knows(s, q) && (a.absent(s, f, q) || a.manyTold(s, f, q))
+	if ended || q.looks == lookLimit {
 		a.giveUp(s, f, q, ended)
 		return
 	}
 	q.phase, q.until, q.awaited = pausing, a.now().Add(lookPause), nil
 }
 
+// manyTold reports whether a flow's service has too many agents to call them all, and the places
+// would know the flow.
+func (a *Agent) manyTold(s *fleet.State, f mangokeel.Flow, q *search) bool {
+	return len(a.uncalled(s, f, q)) > rollLimit &&
+		q.settled == q.places && (q.steady || q.heard) && a.now().Sub(a.view.AllHeard()) < hearTime
+}
+
+// knows reports whether this agent's view is complete and recent, and no place knows an owner.
+func (a *Agent) knows(s *fleet.State, q *search) bool {
+	heard := a.view.Heard()
+	return s.Complete && a.now().Sub(heard) < touchTime && a.stall.since(heard) &&
+		!q.own && q.places > 0 && q.unknowing == q.places
+}
+
 // offer offers the flow's packet to targets whose agents do not know all their flows, or are
 // silent, except those that have returned it. It returns false if there is none.
 func (a *Agent) offer(s *fleet.State, f mangokeel.Flow, q *search) bool {
@@ -403,11 +459,9 @@
 	now := a.now()
 	a.lost[f] = lost{at: now, ended: ended, returned: q.returned}
 	why := []any{
-		"reason", "no agent holds the flow", "looks", q.looks, "agreed", q.agreed, "denied", q.denied, "steady", q.steady, "heard", q.heard,
-		"offered", q.offered, "unknowing", q.unknowing,
-		"complete", s.Complete, "control", now.Sub(a.view.Heard()), "revision", s.Revision, "bytes", q.packet.Size,
-		"request",
-		lazyRequest{a.codec, q.held[0].raw},
+		"reason", "no agent holds the flow", "looks", q.looks, "denied", q.denied, "places", q.places, "unknowing", q.unknowing,
+		"settled", q.settled, "steady", q.steady, "heard", q.heard, "offered", q.offered, "absent", len(q.absent), "complete", s.Complete, "control", now.Sub(a.view.Heard()),
+		"revision", s.Revision, "bytes", q.packet.Size, "request", lazyRequest{a.codec, q.held[0].raw},
 	}
 	if !ended || q.packet.Reset {
 		a.events.decide(Lost, f, why...)
--- a/internal/packet/search_test.go
+++ b/internal/packet/search_test.go
@@ -8,6 +8,7 @@
 	qt "github.com/frankban/quicktest"
 
 	"mangokeel"
+	"mangokeel/internal/fleetwire"
 	"mangokeel/standin/model"
 )
 
@@ -86,3 +87,28 @@
 		})
 	}
 }
+
+// Guards against living flows that are reset because what their owner told the places was lost
+// (docs/incidents.md, 18). Load pattern: callers move between zones all the time, so that their
+// first packet with data comes to balancers that know nothing, and no place has heard of a flow.
+func TestFlowsThatNoPlaceHeardOf(t *testing.T) {
+	for _, hosts := range []int{7, 42} {
+		t.Run(fmt.Sprint(hosts), func(t *testing.T) {
+			c := qt.New(t)
+			m := newFleetOf(size{hosts: hosts, balancers: 12, zones: 4}, 23)
+			m.Lost = fleetwire.Kind_KIND_HOLD
+			cfg := load(300, 2*time.Second)
+			cfg.Zone = "a"
+			m.Load(cfg)
+			for range 50 {
+				m.Run(20 * time.Millisecond)
+				m.Move("a", "b")
+				m.Run(20 * time.Millisecond)
+				m.Move("b", "a")
+			}
+			m.Run(3 * time.Second)
+			check(c, m)
+			c.Assert(m.Stats.Failed <= m.Stats.Asked/100, qt.IsTrue, qt.Commentf("%v", m.Stats))
+		})
+	}
+}
--- a/standin/model/fleet.go
+++ b/standin/model/fleet.go
@@ -91,8 +91,9 @@
 	Hosts     []*Host
 	Balancers []*Balancer
 	Stats     Stats
-	// Loss is the share of frames that are lost.
+	// Loss is the share of frames that are lost. All frames of the kind Lost are, if it is set.
 	Loss float64
+	Lost fleetwire.Kind
 	// Complete and Revision are what control tells.
 	Complete bool
 	Revision uint64
@@ -358,7 +359,7 @@
 
 // frame carries a frame between nodes.
 func (m *Fleet) frame(from mangokeel.AvailabilityZone, to netip.AddrPort, b []byte) {
-	if m.frozen[to] || m.rand.Float64() < m.Loss {
+	if m.frozen[to] || m.rand.Float64() < m.Loss || m.loses(b) {
 		return
 	}
 	m.Frames++
@@ -377,6 +378,16 @@
 	}
 }
 
+// loses reports whether a frame is of the kind that is lost.
+func (m *Fleet) loses(b []byte) bool {
+	if m.Lost == fleetwire.Kind_KIND_UNSPECIFIED {
+		return false
+	}
+	var x fleetwire.Frame
+	_, err := fleetwire.Split(b, &x)
+	return err == nil && x.GetKind() == m.Lost
+}
+
 func (m *Fleet) delay(a, b mangokeel.AvailabilityZone) time.Duration {
 	if a == b {
 		return zoneDelay
