--- a/internal/packet/search.go
+++ b/internal/packet/search.go
@@ -461,7 +461,8 @@
 	why := []any{
 		"reason", "no agent holds the flow", "looks", q.looks, "denied", q.denied, "places", q.places, "unknowing", q.unknowing,
 		"settled", q.settled, "steady", q.steady, "heard", q.heard, "offered", q.offered, "absent", len(q.absent), "complete", s.Complete, "control", now.Sub(a.view.Heard()),
-		"revision", s.Revision, "bytes", q.packet.Size, "request", lazyRequest{a.codec, q.held[0].raw},
+		"revision", s.Revision, "bytes", q.packet.Size, "request",
+		lazyRequest{a.codec, q.held[0].raw},
 	}
 	if !ended || q.packet.Reset {
 		a.events.decide(Lost, f, why...)
