packet: an agent that answers is not silent

An agent that answered nothing for 0.2 s looked idle to the others and got more. Change: a flow that goes on, or a hint, shows that an agent gets frames: its copies are forgotten, and a copy goes to it again. It then leaves the agent that did not answer the first packet. Flows passed and not answered count as work. A silent agent is tried after 1, 2, 4 and 8 s, not each second.

--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -56,6 +56,8 @@
 	// opened is the sequence number of the opening packet.
 	opened uint32
 	seen   time.Time
+	// passed is when this agent passed the opening packet on.
+	passed time.Time
 	// acceptedAt is when the target answered the opening packet; the zero value until then.
 	acceptedAt time.Time
 	// busy is set while the caller awaits an answer, since asked.
@@ -221,7 +223,7 @@
 			a.deliver(raw)
 			return
 		}
-		if !e.local() && s.Agents[e.owner] != nil && !contains(x.GetPassed(), e.owner) {
+		if !e.local() && s.Agents[e.owner] != nil && !contains(x.GetPassed(), e.owner) && !a.ignored(e, p) {
 			x.Passed = append(x.Passed, a.self)
 			a.forward(e.owner, x, raw)
 			return
@@ -235,6 +237,17 @@
 	a.place(s, x, f, p, raw)
 }
 
+// ignored reports whether the agent that a flow was passed to has answered nothing since, and the
+// caller has sent a copy meanwhile. That agent then counts as silent.
+func (a *Agent) ignored(e *entry, p mangokeel.Packet) bool {
+	l := a.loads[e.owner]
+	if p.Copy == 0 || e.passed.IsZero() || l == nil || l.unanswered == 0 || l.waiting.After(e.passed) {
+		return false
+	}
+	l.ignore(a.now())
+	return true
+}
+
 // deliver gives a packet to the target.
 func (a *Agent) deliver(raw []byte) {
 	a.events.count(Delivered)
--- a/internal/packet/agent_test.go
+++ b/internal/packet/agent_test.go
@@ -460,3 +460,46 @@
 	n.data(mangokeel.Packet{Sequence: 1500, Final: true})
 	c.Assert(load().GetFailing(), qt.Equals, uint32(0))
 }
+
+// Guards against a balancer that takes an agent for silent because some of its flows are not
+// answered, while others go on (docs/incidents.md, 19).
+func TestAnsweringAgentIsNotSilent(t *testing.T) {
+	c := qt.New(t)
+	out := &sent{}
+	view := &fleet.View{}
+	now := time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)
+	view.Apply(reply(5, "s"), now)
+	b := packet.NewBalancer(packet.BalancerConfig{Hints: origin}, model.Codec{}, view, out, packet.WithClock(func() time.Time { return now }))
+	port := uint16(1000)
+	send := func(p mangokeel.Packet) netip.AddrPort {
+		p.Source, p.Destination = netip.AddrPortFrom(caller.Addr(), port), model.Address
+		b.Caller(model.Codec{}.Encode(p))
+		return out.frames[len(out.frames)-1]
+	}
+	// first returns a port whose flows go to an agent first.
+	first := func(agent netip.AddrPort) {
+		for port++; send(mangokeel.Packet{Opening: true, Sequence: 9}) != agent; port++ {
+		}
+	}
+	for range 10 {
+		first(self)
+		unanswered := port
+		now = now.Add(100 * time.Millisecond)
+		first(self)
+		send(mangokeel.Packet{Sequence: 10, Acknowledged: 77, Size: 5}) // this flow goes on
+		now = now.Add(100 * time.Millisecond)
+		port, unanswered = unanswered, port
+		c.Assert(send(mangokeel.Packet{Opening: true, Sequence: 9, Copy: 1}), qt.Equals, self)
+		port = unanswered
+	}
+	// Without an answer, copies go elsewhere, and so do further flows.
+	for range 2 {
+		first(self)
+		now = now.Add(200 * time.Millisecond)
+		c.Assert(send(mangokeel.Packet{Opening: true, Sequence: 9, Copy: 1}), qt.Equals, other)
+	}
+	for range 20 {
+		port++
+		c.Assert(send(mangokeel.Packet{Opening: true, Sequence: 9}), qt.Equals, other)
+	}
+}
--- a/internal/packet/balancer.go
+++ b/internal/packet/balancer.go
@@ -51,6 +51,8 @@
 	copies int
 	// since is when copies was last 0.
 	since time.Time
+	// answered is when the agent last showed that it gets frames.
+	answered time.Time
 	// until is the end of the time in which the agent counts as silent.
 	until time.Time
 }
@@ -109,9 +111,10 @@
 		b.open(s, route, f, p, late, raw)
 		return
 	}
-	if _, ok := b.openings[f]; ok && !p.Reset {
+	if x, ok := b.openings[f]; ok && !p.Reset {
 		delete(b.openings, f)
 		b.reach.advanced()
+		b.answered(x.agent, b.now())
 	}
 	b.data(s, route, f, raw)
 }
@@ -147,8 +150,9 @@
 	}
 	first := b.order[0]
 	to := b.heard(now)
-	// Copies whose first packet went elsewhere say nothing about the agent.
-	if x, ok := b.openings[f]; ok && p.Copy > 0 && x.agent == to.Agent {
+	// Copies whose first packet went elsewhere say nothing about the agent. One that has answered
+	// since gets the copy as well: it knows where the flow went, and who did not answer.
+	if x, ok := b.openings[f]; ok && p.Copy > 0 && x.agent == to.Agent && !b.answers(to.Agent, x.at) {
 		b.copied(to.Agent, now)
 		to = b.another(to, now)
 	}
@@ -186,6 +190,23 @@
 	return t
 }
 
+// answered notes that an agent gets frames: a flow that was opened through it goes on, or it has
+// sent a hint.
+func (b *Balancer) answered(agent netip.AddrPort, now time.Time) {
+	x := b.patience[agent]
+	if x == nil {
+		x = &patience{since: now}
+		b.patience[agent] = x
+	}
+	x.answered, x.copies, x.until = now, 0, time.Time{}
+}
+
+// answers reports whether an agent has answered since a time.
+func (b *Balancer) answers(agent netip.AddrPort, since time.Time) bool {
+	x := b.patience[agent]
+	return x != nil && x.answered.After(since)
+}
+
 // copied counts a copy of an opening packet. Copies are only sent when no answer came.
 func (b *Balancer) copied(agent netip.AddrPort, now time.Time) {
 	x := b.patience[agent]
@@ -281,6 +302,7 @@
 		return
 	}
 	b.hints[f] = hint{agent, b.now()}
+	b.answered(agent, b.now())
 }
 
 // Sweep drops what was not used for long. It is called about once a second.
@@ -300,7 +322,7 @@
 		}
 	}
 	for agent, x := range b.patience {
-		if now.Sub(x.since) > copyWindow && now.After(x.until) {
+		if now.Sub(x.since) > copyWindow && now.Sub(x.answered) > copyWindow && now.After(x.until) {
 			delete(b.patience, agent)
 		}
 	}
--- a/internal/packet/fleet_test.go
+++ b/internal/packet/fleet_test.go
@@ -482,3 +482,26 @@
 	asked, inAim := during(m, 3*time.Second)
 	c.Assert(inAim >= asked*95/100, qt.IsTrue, qt.Commentf("%d of %d in aim", inAim, asked))
 }
+
+// Guards against a cut that spreads: agents passed flows across it, and balancers took the agents
+// that had passed them for silent, until they used none of their own zone. Load pattern: seven
+// tenths of the capacity while frames from one zone to another are lost.
+func TestOneWayCut(t *testing.T) {
+	c := qt.New(t)
+	asked, inAim, failed := 0, 0, 0
+	for seed := range uint64(5) {
+		m := newFleet(40 + seed)
+		m.Load(load(650, 8*time.Second))
+		m.Run(2 * time.Second)
+		m.Cut = [...]mangokeel.AvailabilityZone{"a", "b"}
+		before := m.Stats
+		m.Run(5 * time.Second)
+		after := m.Stats
+		asked, inAim, failed = asked+after.Asked-before.Asked, inAim+after.InAim-before.InAim, failed+after.Failed-before.Failed
+		m.Cut = [2]mangokeel.AvailabilityZone{}
+		m.Run(4 * time.Second)
+		check(c, m)
+	}
+	t.Logf("%d of %d in aim, %d failed", inAim, asked, failed)
+	c.Assert(inAim >= asked*97/100, qt.IsTrue, qt.Commentf("%d of %d in aim, %d failed", inAim, asked, failed))
+}
--- a/internal/packet/place.go
+++ b/internal/packet/place.go
@@ -45,8 +45,10 @@
 	answerLimit = waitMost + 50*time.Millisecond
 	// answerLeast is how many flows it takes.
 	answerLeast = 2
-	// answerRetry is how often a silent agent gets a flow all the same.
-	answerRetry = time.Second
+	// answerRetry is after how long a silent agent gets a flow all the same. Each further one that it
+	// does not answer doubles the time, up to answerRetryMost: cuts last for seconds.
+	answerRetry     = time.Second
+	answerRetryMost = 8 * time.Second
 	// queueFactor is how much work for each slot a target gets at most: hosts queue a few
 	// requests for each slot.
 	queueFactor = 5
@@ -62,8 +64,6 @@
 	// failing is the share of requests that the target fails.
 	failing float64
 	at      time.Time
-	// placed counts the flows that this agent has sent there since.
-	placed float64
 	// unanswered counts the flows passed to the agent since it last said anything,
 	// waiting is the time of the first of them and passed of the last.
 	unanswered      int
@@ -93,7 +93,27 @@
 
 // silent reports whether the agent does not answer.
 func (e *estimate) silent(now time.Time) bool {
-	return e != nil && e.unanswered >= answerLeast && now.Sub(e.waiting) > answerLimit && now.Sub(e.passed) < answerRetry
+	return e != nil && e.unanswered >= answerLeast && now.Sub(e.waiting) > answerLimit && now.Sub(e.passed) < e.retry()
+}
+
+// retry returns how long a silent agent gets no flow.
+func (e *estimate) retry() time.Duration {
+	d := answerRetry
+	for range e.unanswered - answerLeast {
+		if d = min(2*d, answerRetryMost); d == answerRetryMost {
+			break
+		}
+	}
+	return d
+}
+
+// ignore notes that the agent left a flow unanswered for so long that its caller has sent a copy.
+func (e *estimate) ignore(now time.Time) {
+	e.unanswered = max(e.unanswered, answerLeast)
+	if since := now.Add(-answerLimit - 1); e.waiting.After(since) {
+		e.waiting = since
+	}
+	e.passed = now
 }
 
 // pass notes a flow that is passed to the agent.
@@ -102,7 +122,6 @@
 		e.waiting = now
 	}
 	e.unanswered++
-	e.placed++
 	e.passed = now
 }
 
@@ -146,13 +165,18 @@
 	return time.Duration(s.mean)
 }
 
-// value returns the work in progress that is to be expected.
+// value returns the work in progress that is to be expected: what the agent told, and the flows
+// that were passed to it and not answered.
 func (e *estimate) value(now time.Time) float64 {
 	if e == nil {
 		return 0
 	}
 	left := 1 - float64(now.Sub(e.at))/float64(estimateLife)
-	return max(0, left) * (e.busy + e.placed)
+	placed := 0
+	if now.Sub(e.passed) < answerLimit {
+		placed = e.unanswered
+	}
+	return max(0, left)*e.busy + float64(placed)
 }
 
 // thousandths is the unit of fleetwire.Load.Failing.
@@ -267,7 +291,7 @@
 
 func (a *Agent) passTo(t *fleet.Target, x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
 	// Copies of the packet must take the same way, or two targets open the flow.
-	a.flows[f] = &entry{owner: t.Agent, opened: p.Sequence, seen: a.now()}
+	a.flows[f] = &entry{owner: t.Agent, opened: p.Sequence, seen: a.now(), passed: a.now()}
 	e := a.loads[t.Agent]
 	if e == nil {
 		e = &estimate{at: a.now()}
--- a/standin/model/fleet.go
+++ b/standin/model/fleet.go
@@ -94,6 +94,8 @@
 	// Loss is the share of frames that are lost. All frames of the kind Lost are, if it is set.
 	Loss float64
 	Lost fleetwire.Kind
+	// Cut loses all frames from the first zone to the second.
+	Cut [2]mangokeel.AvailabilityZone
 	// Complete and Revision are what control tells.
 	Complete bool
 	Revision uint64
@@ -365,6 +367,9 @@
 	m.Frames++
 	b = append([]byte(nil), b...)
 	if h := m.hosts[to]; h != nil {
+		if m.Cut == [...]mangokeel.AvailabilityZone{from, h.Zone} {
+			return
+		}
 		m.after(m.delay(from, h.Zone), func() {
 			h.reach(func() { h.agent.Frame(b) })
 		})
