packet: targets are judged by what they can have done

Ruled out: dropping the check for callers that give up (it shows targets that hang). Change: a request that the caller gives up counts against the target after three times the expected time; an answer is timed by its first data, whether the end came first or not. Tests: the case 'given up by the caller' of TestFailuresAreTold asserted that an end at the very moment of the request is a failure, which is the fault; two cases take its place, one 100 ms later and one 1 ms later.

--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -358,7 +358,7 @@
 		a.setBusy(e, true)
 	}
 	if p.Reset || p.Final {
-		a.unanswered(e, f, "given up by the caller")
+		a.givenUp(e, f)
 		a.setBusy(e, false)
 		a.setClosed(e)
 	}
@@ -381,6 +381,16 @@
 	}
 }
 
+// givenUp notes that the caller ends a flow. A request that its target cannot have answered yet says
+// nothing of the target.
+func (a *Agent) givenUp(e *entry, f mangokeel.Flow) {
+	expected := time.Duration(float64(a.service.time()) * max(1, e.ahead))
+	if a.now().Sub(e.asked) < blameFactor*expected {
+		e.awaiting = false
+	}
+	a.unanswered(e, f, "given up by the caller")
+}
+
 // began takes over what the beginning of an answer says.
 func (a *Agent) began(e *entry, f mangokeel.Flow, p mangokeel.Packet) {
 	if p.Failed {
@@ -465,7 +475,7 @@
 	}
 	begins := p.Sequence == e.acknowledged
 	if p.Size > 0 {
-		if e.busy && e.requested {
+		if e.requested { // the end of the answer may have overtaken its data
 			a.events.answers.Observe(now.Sub(e.asked).Seconds())
 			if !p.Failed { // how fast a target fails says nothing of its work
 				a.service.observe(now.Sub(e.asked), e.ahead)
--- a/internal/packet/place.go
+++ b/internal/packet/place.go
@@ -35,6 +35,9 @@
 	// failCost is what a failed answer costs its caller: the deadlines of small requests
 	// begin at half a second.
 	failCost = 500 * time.Millisecond
+	// blameFactor is how much longer than expected a target may work on a request before it has
+	// failed it when the caller gives up: most requests take less than twice the mean.
+	blameFactor = 3
 	// slowLeast is how many others must be known for a comparison.
 	slowLeast = 3
 	// slowFactor is how much slower than others a target is that takes no flow without a
