replica: a preliminary candidate makes way for one with a lower id

With voters that lost the end of their logs it takes all votes, so that two candidates suffice. Ruled out: delays by rank (every instance stands at once when it starts, since the others may have waited for it; a delay of 25 ms for each rank was worse for starts one by one). Change: one that asks for pre-votes and is asked by an instance with as long a log and a lower id grants it and stops asking until its next time-out.

--- a/internal/replica/election.go
+++ b/internal/replica/election.go
@@ -158,7 +158,12 @@
 	current := m.GetLastTerm() > c.log.lastTerm() ||
 		m.GetLastTerm() == c.log.lastTerm() && m.GetLastIndex() >= c.log.last()
 	if m.GetPhase() == wire.Phase_PHASE_PRE {
-		return current && m.GetTerm() > c.term() && !c.precedes(m)
+		granted := current && m.GetTerm() > c.term() && !c.precedes(m)
+		if granted && c.role == preCandidate && m.GetFrom() < c.id() {
+			c.role = follower // both would go on, and split the votes of the others
+			c.resetDeadline()
+		}
+		return granted
 	}
 	if m.GetTerm() > c.term() {
 		c.follow(m.GetTerm(), "")
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -802,3 +802,34 @@
 	t.Logf("leader %v after a majority in the median, %v in nine of ten, %v at most", times[100], times[180], times[199])
 	qt.Assert(t, times[180] <= target, qt.IsTrue, qt.Commentf("%v in nine of ten cases", times[180]))
 }
+
+// Guards against instances that stand for election against each other because they were started at
+// the same moment (sieste-hq-large trouble-3: 0.1 s without a leader in one play of three, after all
+// processes were killed). A leader is due as soon as in TestStartOneByOne. Some voters have lost the
+// end of their logs, so that it takes all votes.
+func TestStartTogether(t *testing.T) {
+	const target = 200 * time.Millisecond
+	var times []time.Duration
+	for seed := range uint64(200) {
+		s := newSim(seed)
+		s.healing = true
+		s.t.Advance(3 * time.Second)
+		qt.Assert(t, s.leader(), qt.Not(qt.IsNil))
+		for _, h := range s.hosts {
+			h.down(true)
+		}
+		s.t.Advance(40 * time.Millisecond)
+		r := rand.New(rand.NewPCG(seed, 3))
+		for _, h := range s.hosts {
+			s.t.After(time.Duration(r.Int64N(int64(2*time.Millisecond))), func(time.Time) { h.boot() })
+		}
+		began := s.t.Now()
+		for s.leader() == nil && s.t.Now().Sub(began) < 4*time.Second {
+			s.t.Advance(time.Millisecond)
+		}
+		times = append(times, s.t.Now().Sub(began))
+	}
+	slices.Sort(times)
+	t.Logf("leader %v after the start in the median, %v in nine of ten, %v at most", times[100], times[180], times[199])
+	qt.Assert(t, times[195] <= target, qt.IsTrue, qt.Commentf("%v in 195 of 200 cases", times[195]))
+}
