--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -22,9 +22,9 @@
 	// themselves: as long as an agent may be silent, and one slow fetch of the whole state.
 	gathering = lease + wholeTimeout
 	// gatheringAnew is the same after an outage of the whole deployment. An agent that it spared
-	// announces itself after three questions for the leader at most, of 150 ms each. Agents
-	// that come back later have lost their flows with the others.
-	gatheringAnew = 500 * time.Millisecond
+	// finds the leader once it has tried each instance, asked one during the election, and rested.
+	// Agents that come back later have lost their flows with the others.
+	gatheringAnew = searchTimeout/connectShare + searchHold + followPause + searchTimeout/connectShare
 	// anew is the share of the agents on the list that shows such an outage, if they started
 	// together with their targets and no other agent was heard of: all but one host in ten.
 	anew = 0.9
