packet: names of the search, and a place counts once

Cause: the read of the whole change: absent named a field and a method, uncalled and name said little, and a second UNKNOWN frame of one place would have counted as another place that would know the flow (services of more than 64 agents only). Ruled out: nothing else changes.

--- a/internal/packet/roll.go
+++ b/internal/packet/roll.go
@@ -18,8 +18,10 @@
 	rollPause = 500 * time.Microsecond
 )
 
-// roll has the flows about which all agents of their services are asked at once.
+// roll has the flows about which all agents of their services are asked at once. The zero value has
+// none.
 type roll struct {
+	// flows may contain some whose search has ended meanwhile.
 	flows []mangokeel.Flow
 	// next is when they may be asked.
 	next time.Time
@@ -30,7 +32,7 @@
 func (a *Agent) callRoll(s *fleet.State, f mangokeel.Flow, q *search) {
 	q.awaited = nil
 	if a.knows(s, q) {
-		q.awaited = a.uncalled(s, f, q)
+		q.awaited = a.remaining(s, f, q)
 	}
 	if len(q.awaited) == 0 || len(q.awaited) > rollLimit {
 		a.next(s, f, q)
@@ -42,9 +44,9 @@
 	a.sendCalls(now)
 }
 
-// uncalled returns the agents that know their targets' flows and have not said that this is none
+// remaining returns the agents that know their targets' flows and have not said that this is none
 // of them.
-func (a *Agent) uncalled(s *fleet.State, f mangokeel.Flow, q *search) (list []netip.AddrPort) {
+func (a *Agent) remaining(s *fleet.State, f mangokeel.Flow, q *search) (list []netip.AddrPort) {
 	route := s.Routes[f.Address]
 	if route == nil {
 		return nil
@@ -59,9 +61,9 @@
 	return list
 }
 
-// absent reports whether all agents have said that their targets do not hold a flow.
-func (a *Agent) absent(s *fleet.State, f mangokeel.Flow, q *search) bool {
-	return len(a.uncalled(s, f, q)) == 0
+// allAbsent reports whether all agents have said that their targets do not hold a flow.
+func (a *Agent) allAbsent(s *fleet.State, f mangokeel.Flow, q *search) bool {
+	return len(a.remaining(s, f, q)) == 0
 }
 
 // sendCalls asks about the flows that wait for it, if it is time.
@@ -110,7 +112,7 @@
 	for _, h := range x.GetHoldings() {
 		f := mangokeel.Flow{Caller: fleetwire.ParseAddress(h.GetCaller()), Address: fleetwire.ParseAddress(h.GetAddress())}
 		if e := a.flows[f]; e != nil && e.local() {
-			a.name(s, from, f, e)
+			a.sayOwner(s, from, f, e)
 			continue
 		}
 		out.Holdings = append(out.Holdings, h)
--- a/internal/packet/search.go
+++ b/internal/packet/search.go
@@ -215,11 +215,11 @@
 		a.sayUnknown(s, from, f, a.settled(s))
 		return
 	}
-	a.name(s, from, f, e)
+	a.sayOwner(s, from, f, e)
 }
 
-// name tells an agent who holds a flow.
-func (a *Agent) name(s *fleet.State, to netip.AddrPort, f mangokeel.Flow, e *entry) {
+// sayOwner tells an agent who holds a flow.
+func (a *Agent) sayOwner(s *fleet.State, to netip.AddrPort, f mangokeel.Flow, e *entry) {
 	x := a.about(fleetwire.Kind_KIND_HINT, s, f)
 	x.Opened, x.Established, x.Passed = e.opened, e.established, [][]byte{a.self}
 	if !e.local() {
@@ -241,7 +241,7 @@
 	f := flowOf(x)
 	if q := a.searches[f]; q != nil {
 		q.absent[from] = q.absent[from] || x.GetAware()
-		if q.phase == looking && x.GetSettled() {
+		if q.phase == looking && x.GetSettled() && slices.Contains(q.awaited, from) {
 			q.settled++
 		}
 		a.replied(s, f, from, q.phase == looking || x.GetSettled())
@@ -364,7 +364,7 @@
 
 // next pauses before the next look, or ends the search.
 func (a *Agent) next(s *fleet.State, f mangokeel.Flow, q *search) {
-	ended := q.denied && !q.own || q.offered && a.knows(s, q) && (a.absent(s, f, q) || a.manyTold(s, f, q))
+	ended := q.denied && !q.own || q.offered && a.knows(s, q) && (a.allAbsent(s, f, q) || a.manyTold(s, f, q))
 	if ended || q.looks == lookLimit {
 		a.giveUp(s, f, q, ended)
 		return
@@ -375,7 +375,7 @@
 // manyTold reports whether a flow's service has too many agents to call them all, and the places
 // would know the flow.
 func (a *Agent) manyTold(s *fleet.State, f mangokeel.Flow, q *search) bool {
-	return len(a.uncalled(s, f, q)) > rollLimit &&
+	return len(a.remaining(s, f, q)) > rollLimit &&
 		q.settled == q.places && (q.steady || q.heard) && a.now().Sub(a.view.AllHeard()) < hearTime
 }
 
@@ -460,8 +460,8 @@
 	a.lost[f] = lost{at: now, ended: ended, returned: q.returned}
 	why := []any{
 		"reason", "no agent holds the flow", "looks", q.looks, "denied", q.denied, "places", q.places, "unknowing", q.unknowing,
-		"settled", q.settled, "steady", q.steady, "heard", q.heard, "offered", q.offered, "absent", len(q.absent), "complete", s.Complete, "control", now.Sub(a.view.Heard()),
-		"revision", s.Revision, "bytes", q.packet.Size, "request",
+		"settled", q.settled, "steady", q.steady, "heard", q.heard, "offered", q.offered, "absent", len(q.absent),
+		"complete", s.Complete, "control", now.Sub(a.view.Heard()), "revision", s.Revision, "bytes", q.packet.Size, "request",
 		lazyRequest{a.codec, q.held[0].raw},
 	}
 	if !ended || q.packet.Reset {
