packet: an owner that was just named is there, whether the view has it or not

Change: an owner that was named within 0.55 s counts as there: a poll is held for 0.5 s, and its answer waits for further changes. The model can poll apart, and the soak does.

--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -30,6 +30,9 @@
 	passLimit = 4
 	// hintPeriod separates hints about one flow: callers retransmit after 200 ms.
 	hintPeriod = 150 * time.Millisecond
+	// viewLag is how much older a node's view may be than another's: a poll is held for 0.5 s, and
+	// its answer waits for further changes.
+	viewLag = 550 * time.Millisecond
 	// lostLife is how long the result of a search is remembered.
 	lostLife = time.Second
 	// endGrace is the time between a target's last word and the resets of its flows.
@@ -56,8 +59,9 @@
 	// opened is the sequence number of the opening packet.
 	opened uint32
 	seen   time.Time
-	// passed is when this agent passed the opening packet on.
-	passed time.Time
+	// passed is when this agent passed the opening packet on, and named when it last heard who
+	// holds the flow.
+	passed, named time.Time
 	// acceptedAt is when the target answered the opening packet; the zero value until then.
 	acceptedAt time.Time
 	// busy is set while the caller awaits an answer, since asked.
@@ -223,7 +227,7 @@
 			a.deliver(raw)
 			return
 		}
-		if !e.local() && s.Agents[e.owner] != nil && !contains(x.GetPassed(), e.owner) && !a.ignored(e, p) {
+		if !e.local() && a.there(s, e) && !contains(x.GetPassed(), e.owner) && !a.ignored(e, p) {
 			x.Passed = append(x.Passed, a.self)
 			a.forward(e.owner, x, raw)
 			return
@@ -329,7 +333,7 @@
 
 // toOwner passes a packet to the agent that this directory placed its flow at.
 func (a *Agent) toOwner(s *fleet.State, e *entry, x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
-	if s.Agents[e.owner] == nil || contains(x.GetPassed(), e.owner) {
+	if !a.there(s, e) || contains(x.GetPassed(), e.owner) {
 		a.forget(f, e)
 		a.unknown(s, x, f, p, raw)
 		return
@@ -338,6 +342,12 @@
 	a.forward(e.owner, x, raw)
 }
 
+// there reports whether the agent that holds a flow has not left. One that has just joined may hold
+// it before this agent's view has it.
+func (a *Agent) there(s *fleet.State, e *entry) bool {
+	return s.Agents[e.owner] != nil || a.now().Sub(e.named) < viewLag
+}
+
 func contains(passed [][]byte, agent netip.AddrPort) bool {
 	for _, b := range passed {
 		if fleetwire.ParseAddress(b) == agent {
--- a/internal/packet/agent_test.go
+++ b/internal/packet/agent_test.go
@@ -532,3 +532,26 @@
 		c.Assert(send(mangokeel.Packet{Opening: true, Sequence: 9}), qt.Equals, other)
 	}
 }
+
+// Guards against flows of an agent that has just joined: its hint may come before control's word
+// of it, and the next packet of the flow was looked for everywhere else, and reset
+// (docs/incidents.md, 21).
+func TestOwnerThatHasJustJoined(t *testing.T) {
+	c := qt.New(t)
+	joined := netip.MustParseAddrPort("10.0.0.9:7000")
+	n := newNode(c, reply(5, "s"))
+	b, err := fleetwire.Append(nil, &fleetwire.Frame{
+		Kind: fleetwire.Kind_KIND_HINT, Origin: fleetwire.Address(joined), Opened: 9, Revision: 5,
+		Caller: fleetwire.Address(caller), Address: fleetwire.Address(model.Address),
+	}, nil)
+	c.Assert(err, qt.IsNil)
+	n.agent.Frame(b)
+	n.data(mangokeel.Packet{Sequence: 10, Acknowledged: 77, Size: 5})
+	c.Assert(n.frames, qt.HasLen, 1)
+	c.Assert(n.frames[0], qt.Equals, joined)
+	// An agent that control does not tell of for longer has left.
+	n.now = n.now.Add(time.Second)
+	n.view.Apply(reply(5, "s"), n.now)
+	n.data(mangokeel.Packet{Sequence: 10, Acknowledged: 77, Size: 5})
+	c.Assert(n.frames[len(n.frames)-1], qt.Equals, other, qt.Commentf("a place is asked"))
+}
--- a/internal/packet/places.go
+++ b/internal/packet/places.go
@@ -131,7 +131,7 @@
 		e = &entry{}
 		a.flows[f] = e
 	}
-	e.owner, e.opened, e.established, e.seen = owner, opened, established, a.now()
+	e.owner, e.opened, e.established, e.seen, e.named = owner, opened, established, a.now(), a.now()
 }
 
 // observeView notes when the view first became complete.
--- a/internal/packet/search.go
+++ b/internal/packet/search.go
@@ -211,7 +211,7 @@
 		return
 	}
 	e := a.flows[f]
-	if e == nil || !e.local() && s.Agents[e.owner] == nil {
+	if e == nil || !e.local() && !a.there(s, e) {
 		a.sayUnknown(s, from, f, a.settled(s))
 		return
 	}
--- a/internal/packet/soak_test.go
+++ b/internal/packet/soak_test.go
@@ -42,8 +42,10 @@
 }
 
 func newSoak(t *testing.T, size size, seed uint64) *soak {
+	m := newFleetOf(size, seed)
+	m.Apart = true
 	return &soak{
-		Fleet: newFleetOf(size, seed), size: size, c: qt.New(t), r: rand.New(rand.NewPCG(seed, 1)),
+		Fleet: m, size: size, c: qt.New(t), r: rand.New(rand.NewPCG(seed, 1)),
 		out: map[mangokeel.AvailabilityZone]time.Time{}, back: map[mangokeel.AvailabilityZone]time.Time{},
 	}
 }
--- a/standin/model/fleet.go
+++ b/standin/model/fleet.go
@@ -94,6 +94,8 @@
 	// Loss is the share of frames that are lost. All frames of the kind Lost are, if it is set.
 	Loss float64
 	Lost fleetwire.Kind
+	// Apart makes each node poll control at a moment of its own, so that views differ.
+	Apart bool
 	// Cut loses all frames from the first zone to the second.
 	Cut [2]mangokeel.AvailabilityZone
 	// Complete and Revision are what control tells.
@@ -135,7 +137,13 @@
 		Address: Address.String(), Shares: []*fleetwire.Share{{Service: "s", Weight: 1}}, TimeoutMs: 1500, Revision: 1,
 	}}
 	m.Services = []*fleetwire.Service{{Name: "s", Connections: 2000}}
-	m.timers.Every(pollPeriod, func(time.Time) { m.Poll() })
+	m.timers.Every(pollPeriod, func(time.Time) {
+		if m.Apart {
+			m.pollApart()
+		} else {
+			m.Poll()
+		}
+	})
 	m.timers.Every(sweepPeriod, func(time.Time) { m.sweep() })
 	m.timers.Every(checkPeriod, func(time.Time) { m.check() })
 	m.timers.Every(time.Second, func(time.Time) {
@@ -290,6 +298,26 @@
 // Freeze stops a node from getting frames, or lets it get them again.
 func (m *Fleet) Freeze(agent netip.AddrPort, frozen bool) { m.frozen[agent] = frozen }
 
+// pollApart brings each node up to date at some moment of the period.
+func (m *Fleet) pollApart() {
+	for _, h := range m.Hosts {
+		m.after(time.Duration(m.rand.Int64N(int64(pollPeriod))), func() {
+			if h.agent != nil && !h.suspended {
+				h.heard = m.Now()
+			}
+			h.reach(func() { m.poll(h.view) })
+		})
+	}
+	for _, b := range m.Balancers {
+		if !b.CutOff {
+			m.after(time.Duration(m.rand.Int64N(int64(pollPeriod))), func() {
+				m.poll(b.view)
+				b.heard = m.Now()
+			})
+		}
+	}
+}
+
 // Poll brings all nodes up to date now.
 func (m *Fleet) Poll() {
 	for _, h := range m.Hosts {
