packet, model, replica: parts that were written twice

The agents still to be called were computed up to three times for each search in services of more than 64 agents; two loops filled frames with flows; flows were decoded from messages in four places; the model polled a node in two ways; four tests of elections took power away and waited for a leader by the same lines. Change: addHolding, sendHoldings, flowOf for frames and holdings, one condition for a flow that no agent holds, Host.poll and pollBalancer, untilLeader and withoutPower. No behaviour is meant to change.

--- a/internal/packet/packet.go
+++ b/internal/packet/packet.go
@@ -94,7 +94,13 @@
 	return xxhash.Sum64(b[:])
 }
 
-// flowOf returns the flow that a hint names, or the zero value.
-func flowOf(x *fleetwire.Frame) mangokeel.Flow {
+// naming is a message that names a flow.
+type naming interface {
+	GetCaller() []byte
+	GetAddress() []byte
+}
+
+// flowOf returns the flow that a message names, or the zero value.
+func flowOf(x naming) mangokeel.Flow {
 	return mangokeel.Flow{Caller: fleetwire.ParseAddress(x.GetCaller()), Address: fleetwire.ParseAddress(x.GetAddress())}
 }
--- a/internal/packet/places.go
+++ b/internal/packet/places.go
@@ -30,9 +30,33 @@
 	start uint64
 }
 
-// holdings are frames that tell places of flows, by the place.
+// holdings are frames that name flows and are not sent yet, by the agent that gets them.
 type holdings map[netip.AddrPort]*fleetwire.Frame
 
+// addHolding adds a flow to the frame for an agent, which is sent once it is full, and reports
+// whether it began a frame.
+func (a *Agent) addHolding(frames holdings, kind fleetwire.Kind, revision uint64, to netip.AddrPort, h *fleetwire.Holding) (began bool) {
+	x := frames[to]
+	if x == nil {
+		began = true
+		x = &fleetwire.Frame{Kind: kind, Origin: a.self, Revision: revision}
+		frames[to] = x
+	}
+	x.Holdings = append(x.Holdings, h)
+	if len(x.GetHoldings()) == tellLimit {
+		a.send(to, x, nil)
+		delete(frames, to)
+	}
+	return began
+}
+
+// sendHoldings sends the frames that are left.
+func (a *Agent) sendHoldings(frames holdings) {
+	for to, x := range frames {
+		a.send(to, x, nil)
+	}
+}
+
 // tellPlaces tells the places of the own target's flows that it holds them: flows that have
 // lasted for a while, places that are new or have started again, and all of them now and then.
 func (a *Agent) tellPlaces(s *fleet.State, now time.Time) {
@@ -46,9 +70,7 @@
 			a.tellFlow(s, frames, f, e, again)
 		}
 	}
-	for to, x := range frames {
-		a.send(to, x, nil)
-	}
+	a.sendHoldings(frames)
 }
 
 // tellFirst tells the first places of a flow that the own target has accepted it. It is called
@@ -85,16 +107,7 @@
 		if t.Agent == a.cfg.Address || !all && slices.Contains(e.told, p) {
 			continue
 		}
-		x := frames[t.Agent]
-		if x == nil {
-			x = &fleetwire.Frame{Kind: fleetwire.Kind_KIND_HOLD, Origin: a.self, Revision: s.Revision}
-			frames[t.Agent] = x
-		}
-		x.Holdings = append(x.Holdings, holding(f, e))
-		if len(x.GetHoldings()) == tellLimit {
-			a.send(t.Agent, x, nil)
-			delete(frames, t.Agent)
-		}
+		a.addHolding(frames, fleetwire.Kind_KIND_HOLD, s.Revision, t.Agent, holding(f, e))
 	}
 	e.told = told
 }
@@ -107,7 +120,7 @@
 		return
 	}
 	for _, h := range x.GetHoldings() {
-		f := mangokeel.Flow{Caller: fleetwire.ParseAddress(h.GetCaller()), Address: fleetwire.ParseAddress(h.GetAddress())}
+		f := flowOf(h)
 		if !f.Caller.IsValid() {
 			a.events.count(Malformed)
 			continue
--- a/internal/packet/roll.go
+++ b/internal/packet/roll.go
@@ -61,11 +61,6 @@
 	return list
 }
 
-// allAbsent reports whether all agents have said that their targets do not hold a flow.
-func (a *Agent) allAbsent(s *fleet.State, f mangokeel.Flow, q *search) bool {
-	return len(a.remaining(s, f, q)) == 0
-}
-
 // sendCalls asks about the flows that wait for it, if it is time.
 func (a *Agent) sendCalls(now time.Time) {
 	if len(a.roll.flows) == 0 || now.Before(a.roll.next) {
@@ -81,22 +76,13 @@
 		}
 		q.until = now.Add(lookTime)
 		for _, agent := range q.awaited {
-			x := frames[agent]
-			if x == nil {
-				x = &fleetwire.Frame{Kind: fleetwire.Kind_KIND_CALL, Origin: a.self, Revision: s.Revision}
-				frames[agent] = x
+			h := &fleetwire.Holding{Caller: fleetwire.Address(f.Caller), Address: fleetwire.Address(f.Address)}
+			if a.addHolding(frames, fleetwire.Kind_KIND_CALL, s.Revision, agent, h) {
 				sent++
 			}
-			x.Holdings = append(x.Holdings, &fleetwire.Holding{Caller: fleetwire.Address(f.Caller), Address: fleetwire.Address(f.Address)})
-			if len(x.GetHoldings()) == tellLimit {
-				a.send(agent, x, nil)
-				delete(frames, agent)
-			}
 		}
 	}
-	for agent, x := range frames {
-		a.send(agent, x, nil)
-	}
+	a.sendHoldings(frames)
 	a.roll.flows = a.roll.flows[:0]
 	a.roll.next = now.Add(time.Duration(sent) * rollPause)
 }
@@ -110,7 +96,7 @@
 	}
 	out := &fleetwire.Frame{Kind: fleetwire.Kind_KIND_UNKNOWN, Origin: a.self, Revision: s.Revision, Aware: a.aware}
 	for _, h := range x.GetHoldings() {
-		f := mangokeel.Flow{Caller: fleetwire.ParseAddress(h.GetCaller()), Address: fleetwire.ParseAddress(h.GetAddress())}
+		f := flowOf(h)
 		if e := a.flows[f]; e != nil && e.local() {
 			a.sayOwner(s, from, f, e)
 			continue
--- a/internal/packet/search.go
+++ b/internal/packet/search.go
@@ -247,7 +247,7 @@
 		a.replied(s, f, from, q.phase == looking || x.GetSettled())
 	}
 	for _, h := range x.GetHoldings() {
-		f := mangokeel.Flow{Caller: fleetwire.ParseAddress(h.GetCaller()), Address: fleetwire.ParseAddress(h.GetAddress())}
+		f := flowOf(h)
 		q := a.searches[f]
 		if q == nil || !x.GetAware() {
 			continue
@@ -364,7 +364,7 @@
 
 // next pauses before the next look, or ends the search.
 func (a *Agent) next(s *fleet.State, f mangokeel.Flow, q *search) {
-	ended := q.denied && !q.own || q.offered && a.knows(s, q) && (a.allAbsent(s, f, q) || a.manyTold(s, f, q))
+	ended := q.denied && !q.own || q.offered && a.knows(s, q) && a.nowhere(s, f, q)
 	if ended || q.looks == lookLimit {
 		a.giveUp(s, f, q, ended)
 		return
@@ -372,11 +372,12 @@
 	q.phase, q.until, q.awaited = pausing, a.now().Add(lookPause), nil
 }
 
-// manyTold reports whether a flow's service has too many agents to call them all, and the places
-// would know the flow.
-func (a *Agent) manyTold(s *fleet.State, f mangokeel.Flow, q *search) bool {
-	return len(a.remaining(s, f, q)) > rollLimit &&
-		q.settled == q.places && (q.steady || q.heard) && a.now().Sub(a.view.AllHeard()) < hearTime
+// nowhere reports whether no agent holds a flow that no place knows: all have said so, or they are too
+// many to call and the places would know it.
+func (a *Agent) nowhere(s *fleet.State, f mangokeel.Flow, q *search) bool {
+	n := len(a.remaining(s, f, q))
+	told := q.settled == q.places && (q.steady || q.heard) && a.now().Sub(a.view.AllHeard()) < hearTime
+	return n == 0 || n > rollLimit && told
 }
 
 // knows reports whether this agent's view is complete and recent, and no place knows an owner.
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -724,16 +724,35 @@
 		qt.Assert(t, h, qt.Not(qt.IsNil))
 		at := s.t.Now()
 		s.freeze(h, 5*time.Second)
-		for s.leader() == nil && s.t.Now().Sub(at) < 4*time.Second {
-			s.t.Advance(10 * time.Millisecond)
-		}
-		longest = max(longest, s.t.Now().Sub(at))
+		longest = max(longest, s.untilLeader(at, 10*time.Millisecond))
 		s.t.Advance(6 * time.Second)
 	}
 	t.Logf("longest time without a leader: %v", longest)
 	qt.Assert(t, longest < 3*time.Second, qt.IsTrue)
 }
 
+// untilLeader lets time pass in steps until there is a leader, for 4 s after from at most, and
+// returns how long after from that is.
+func (s *sim) untilLeader(from time.Time, step time.Duration) time.Duration {
+	for s.leader() == nil && s.t.Now().Sub(from) < 4*time.Second {
+		s.t.Advance(step)
+	}
+	return s.t.Now().Sub(from)
+}
+
+// withoutPower returns instances that had a leader and have lost power.
+func withoutPower(t *testing.T, seed uint64) *sim {
+	s := newSim(seed)
+	s.healing = true
+	s.t.Advance(3 * time.Second)
+	qt.Assert(t, s.leader(), qt.Not(qt.IsNil))
+	for _, h := range s.hosts {
+		h.down(true)
+	}
+	s.t.Advance(40 * time.Millisecond)
+	return s
+}
+
 // Guards against a service that is back late after a loss of all power because its control
 // waits for elections. The target is a leader before callers send the first copy of an opening
 // packet, 200 ms after all instances have started, in nine of ten cases.
@@ -741,22 +760,12 @@
 	const target = 200 * time.Millisecond
 	var times []time.Duration
 	for seed := range uint64(100) {
-		s := newSim(seed)
-		s.healing = true
-		s.t.Advance(3 * time.Second)
-		qt.Assert(t, s.leader(), qt.Not(qt.IsNil))
-		for _, h := range s.hosts {
-			h.down(true)
-		}
-		s.t.Advance(40 * time.Millisecond)
+		s := withoutPower(t, seed)
 		at := s.t.Now()
 		for _, h := range s.hosts {
 			h.boot()
 		}
-		for s.leader() == nil && s.t.Now().Sub(at) < 4*time.Second {
-			s.t.Advance(5 * time.Millisecond)
-		}
-		times = append(times, s.t.Now().Sub(at))
+		times = append(times, s.untilLeader(at, 5*time.Millisecond))
 	}
 	slices.Sort(times)
 	t.Logf("leader after %v in the median, %v in nine of ten, %v at most", times[50], times[90], times[99])
@@ -773,15 +782,8 @@
 	const target, spread = 200 * time.Millisecond, 500 * time.Millisecond
 	var times []time.Duration
 	for seed := range uint64(200) {
-		s := newSim(seed)
-		s.healing = true
-		s.t.Advance(3 * time.Second)
-		qt.Assert(t, s.leader(), qt.Not(qt.IsNil))
+		s := withoutPower(t, seed)
 		voters := len(s.hosts[0].cfg.Members)
-		for _, h := range s.hosts {
-			h.down(true)
-		}
-		s.t.Advance(40 * time.Millisecond)
 		r := rand.New(rand.NewPCG(seed, 2))
 		var starts []time.Duration
 		for i, h := range s.hosts {
@@ -793,10 +795,7 @@
 		}
 		slices.Sort(starts)
 		majority := s.t.Now().Add(starts[voters/2])
-		for s.leader() == nil && s.t.Now().Sub(majority) < 4*time.Second {
-			s.t.Advance(time.Millisecond)
-		}
-		times = append(times, max(0, s.t.Now().Sub(majority)))
+		times = append(times, max(0, s.untilLeader(majority, time.Millisecond)))
 	}
 	slices.Sort(times)
 	t.Logf("leader %v after a majority in the median, %v in nine of ten, %v at most", times[100], times[180], times[199])
@@ -811,23 +810,13 @@
 	const target = 200 * time.Millisecond
 	var times []time.Duration
 	for seed := range uint64(200) {
-		s := newSim(seed)
-		s.healing = true
-		s.t.Advance(3 * time.Second)
-		qt.Assert(t, s.leader(), qt.Not(qt.IsNil))
-		for _, h := range s.hosts {
-			h.down(true)
-		}
-		s.t.Advance(40 * time.Millisecond)
+		s := withoutPower(t, seed)
 		r := rand.New(rand.NewPCG(seed, 3))
 		for _, h := range s.hosts {
 			s.t.After(time.Duration(r.Int64N(int64(2*time.Millisecond))), func(time.Time) { h.boot() })
 		}
 		began := s.t.Now()
-		for s.leader() == nil && s.t.Now().Sub(began) < 4*time.Second {
-			s.t.Advance(time.Millisecond)
-		}
-		times = append(times, s.t.Now().Sub(began))
+		times = append(times, s.untilLeader(began, time.Millisecond))
 	}
 	slices.Sort(times)
 	t.Logf("leader %v after the start in the median, %v in nine of ten, %v at most", times[100], times[180], times[199])
--- a/standin/model/fleet.go
+++ b/standin/model/fleet.go
@@ -298,39 +298,40 @@
 // Freeze stops a node from getting frames, or lets it get them again.
 func (m *Fleet) Freeze(agent netip.AddrPort, frozen bool) { m.frozen[agent] = frozen }
 
+// poll brings the host's agent up to date.
+func (h *Host) poll() {
+	if h.agent != nil && !h.suspended {
+		h.heard = h.fleet.Now()
+	}
+	h.reach(func() { h.fleet.poll(h.view) })
+}
+
+// pollBalancer brings a balancer up to date, unless it is cut off.
+func (m *Fleet) pollBalancer(b *Balancer) {
+	if !b.CutOff {
+		m.poll(b.view)
+		b.heard = m.Now()
+	}
+}
+
 // pollApart brings each node up to date at some moment of the period.
 func (m *Fleet) pollApart() {
+	moment := func() time.Duration { return time.Duration(m.rand.Int64N(int64(pollPeriod))) }
 	for _, h := range m.Hosts {
-		m.after(time.Duration(m.rand.Int64N(int64(pollPeriod))), func() {
-			if h.agent != nil && !h.suspended {
-				h.heard = m.Now()
-			}
-			h.reach(func() { m.poll(h.view) })
-		})
+		m.after(moment(), h.poll)
 	}
 	for _, b := range m.Balancers {
-		if !b.CutOff {
-			m.after(time.Duration(m.rand.Int64N(int64(pollPeriod))), func() {
-				m.poll(b.view)
-				b.heard = m.Now()
-			})
-		}
+		m.after(moment(), func() { m.pollBalancer(b) })
 	}
 }
 
 // Poll brings all nodes up to date now.
 func (m *Fleet) Poll() {
 	for _, h := range m.Hosts {
-		if h.agent != nil && !h.suspended {
-			h.heard = m.Now()
-		}
-		h.reach(func() { m.poll(h.view) })
+		h.poll()
 	}
 	for _, b := range m.Balancers {
-		if !b.CutOff {
-			m.poll(b.view)
-			b.heard = m.Now()
-		}
+		m.pollBalancer(b)
 	}
 }
 
