fleet, packet: balancers stand by where most of their zone's balancers are lost

Balancers that decide alone: they do not know each other, and all zones at once would leave. A record in the log: a change of leader forgets which balancers are down, which costs what is lost today. Change: a poll names the balancer's zone; the leader counts a zone's balancers, and those silent for 0.9 s as down; where fewer than half are left, these are asked to stand by (503 to the fabric's checks), if the zones that are left have a fifth of all balancers. A leader that was suspended excuses the silence of that time. Without control for 1 s a balancer serves again. The model's fabric knows the rule for zones with few balancers.

--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -44,6 +44,8 @@
 	seeds  func() []netip.AddrPort
 	// announce returns the node's announcement, or nil.
 	announce func() *fleetwire.Announcement
+	// balancerZone is the zone of a node that is a balancer, and empty for others.
+	balancerZone mangokeel.AvailabilityZone
 
 	mu sync.Mutex
 	// withdrawn is the agent whose announcement the next poll ends.
@@ -84,6 +86,11 @@
 	return func(f *Follower) { f.announce = fn }
 }
 
+// WithBalancerZone makes the node known as a balancer of a zone.
+func WithBalancerZone(z mangokeel.AvailabilityZone) FollowerOption {
+	return func(f *Follower) { f.balancerZone = z }
+}
+
 // NewFollower starts polling for a node. seeds returns the instances named in the settings;
 // all others are learned from replies.
 func NewFollower(v *View, remote mangokeel.Remote, node string, seeds func() []netip.AddrPort, opts ...FollowerOption) *Follower {
@@ -151,9 +158,11 @@
 	ctx, cancel := context.WithTimeout(f.ctx, timeout)
 	defer cancel()
 	f.mu.Lock()
+	state := f.view.State()
 	req := &fleetwire.PollRequest{
-		Node: f.node, Desired: f.view.State().Revision, Term: f.term, Registry: f.registry,
+		Node: f.node, Desired: state.Revision, Term: f.term, Registry: f.registry,
 		Wait: f.connected && !f.refreshPending, Gone: f.withdrawn,
+		Balancer: string(f.balancerZone), Standby: state.Standby,
 	}
 	f.refreshPending, f.cancelHeldPoll = false, nil
 	if req.GetWait() {
--- a/internal/fleet/join.go
+++ b/internal/fleet/join.go
@@ -54,8 +54,8 @@
 	return out, nil
 }
 
-// runLeaderTasks marks agents with expired leases as silent and takes the next membership step if
-// this instance leads.
+// runLeaderTasks marks agents with expired leases as silent, updates the rotation of the balancers
+// and takes the next membership step if this instance leads.
 func (s *Server) runLeaderTasks() {
 	if _, ok := s.leading(); !ok {
 		return
@@ -64,6 +64,7 @@
 		s.metrics.expired.Inc()
 		_ = level.Warn(s.logger).Log("msg", "lease expired", "agent", agent, "after", leaseDuration)
 	}
+	s.updateRotation()
 	s.registry.requestListUpdate()
 	s.metrics.targets.Set(float64(s.registry.size()))
 	step := s.nextStep(s.log.Members())
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -219,11 +219,19 @@
 	return float64(fresh) >= outageRestartShare*float64(len(g.listed))
 }
 
+// notify wakes waiting polls. mu is held.
 func (g *registry) notify() {
 	close(g.changed)
 	g.changed = make(chan struct{})
 }
 
+// wake wakes waiting polls for a change outside the registry.
+func (g *registry) wake() {
+	g.mu.Lock()
+	defer g.mu.Unlock()
+	g.notify()
+}
+
 // renew renews an agent's lease and reports whether its record is new. Announcements that
 // differ only in the load do not wake waiting polls.
 func (g *registry) renew(a *fleetwire.Announcement, now time.Time) (joined bool) {
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -73,6 +73,7 @@
 	logger            log.Logger
 	toleratedFailures int
 	registry          *registry
+	rotation          Rotation
 	metrics           *serverMetrics
 	packer            wire.Packer
 
@@ -173,6 +174,7 @@
 	st := s.log.Status()
 	if st.Leading {
 		s.registry.startTerm(st.Term, s.timers.Now())
+		s.rotation.startTerm(st.Term)
 	}
 	return st, st.Leading
 }
@@ -202,10 +204,14 @@
 		return &fleetwire.PollReply{Leading: true, Members: s.members()}, nil
 	}
 	s.handleAnnouncement(r)
+	zone := mangokeel.AvailabilityZone(r.GetBalancer())
+	if zone != "" {
+		s.rotation.RecordPoll(r.GetNode(), zone, s.timers.Now())
+	}
 	if r.GetWait() {
 		s.awaitChange(ctx, r)
 	}
-	out := &fleetwire.PollReply{Leading: true, Members: s.members()}
+	out := &fleetwire.PollReply{Leading: true, Members: s.members(), Standby: s.rotation.StandsBy(zone)}
 	s.desired.fillChanges(r.GetDesired(), out)
 	s.registry.fillChanges(r.GetTerm(), r.GetRegistry(), s.timers.Now(), out)
 	if proto.Size(out) < packThresholdBytes {
@@ -290,7 +296,7 @@
 func (s *Server) awaitChange(ctx context.Context, r *fleetwire.PollRequest) {
 	desired, desiredChanged := s.desired.watch()
 	term, registry, registryChanged := s.registry.watch()
-	if desired != r.GetDesired() || term != r.GetTerm() {
+	if desired != r.GetDesired() || term != r.GetTerm() || s.rotation.StandsBy(mangokeel.AvailabilityZone(r.GetBalancer())) != r.GetStandby() {
 		return
 	}
 	if registry == r.GetRegistry() {
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -127,6 +127,8 @@
 	FirstUpdate time.Time `json:"First"`
 	// Complete is false while the leader may not have heard from all agents.
 	Complete bool
+	// Standby is set while the balancers of the node's zone should leave the fabric's rotation.
+	Standby bool
 	// RosterVersion increases with each change of the targets. LastRosterChange is when this
 	// node last learned that an agent joined, left, restarted, fell silent or returned.
 	RosterVersion    uint64    `json:"Roster"`
@@ -298,8 +300,8 @@
 	if next.FirstUpdate.IsZero() {
 		next.FirstUpdate = now
 	}
-	changed := next.Complete != r.GetComplete()
-	next.Complete = r.GetComplete()
+	changed := next.Complete != r.GetComplete() || next.Standby != r.GetStandby()
+	next.Complete, next.Standby = r.GetComplete(), r.GetStandby()
 	changed = v.applyDesired(r, &next) || changed
 	if v.applyRegistry(r) {
 		v.rebuildTargets(&next)
--- a/internal/packet/balancer.go
+++ b/internal/packet/balancer.go
@@ -70,6 +70,8 @@
 	pendingOpens map[mangokeel.Flow]pendingOpen
 	health       map[netip.AddrPort]*agentHealth
 	reachability reachability
+	// standby is the last result of Serving as far as it depends on control's request to stand by.
+	standby bool
 	// frame, buf and candidates are scratch space that is reused for each packet.
 	frame      fleetwire.Frame
 	buf        []byte
@@ -273,8 +275,8 @@
 }
 
 // Serving reports whether the fabric should send callers to the balancer: control has answered it
-// at least once, and it is not cut off from both control and the agents. lastHeard is when control
-// last answered; the zero value if never.
+// at least once, it is not cut off from both control and the agents, and control has not recently
+// asked it to stand by. lastHeard is when control last answered; the zero value if never.
 func (b *Balancer) Serving(lastHeard time.Time) bool {
 	if lastHeard.IsZero() {
 		return false
@@ -286,7 +288,12 @@
 	if cut != wasCut {
 		b.events.logChange("reach", "cut_off", cut, "control_heard", b.now().Sub(lastHeard))
 	}
-	return !cut
+	standby := b.view.State().Standby && b.now().Sub(lastHeard) <= controlTimeout
+	if standby != b.standby {
+		b.standby = standby
+		b.events.logChange("standby", "on", standby, "control_heard", b.now().Sub(lastHeard))
+	}
+	return !cut && !standby
 }
 
 // HandleHint stores the owner of a flow that an agent names in a hint frame.
--- a/internal/packet/fleet_test.go
+++ b/internal/packet/fleet_test.go
@@ -346,6 +346,44 @@
 	c.Assert(m.Stats.Failed, qt.Equals, before.Failed, qt.Commentf("%v after the cut", m.Stats))
 }
 
+// Pattern: a zone loses most of its balancers for seconds. Guards against packets that the fabric
+// goes on handing to dead balancers because fewer than half of the zone's balancers are in rotation.
+func TestMostBalancersOfAZoneLost(t *testing.T) {
+	c := qt.New(t)
+	m := newFleetOfSize(fleetSize{hosts: 9, balancers: 15, zones: 3}, 15)
+	const d = 10 * time.Second
+	for _, zone := range []mangokeel.AvailabilityZone{"a", "b", "c"} {
+		cfg := load(50, d)
+		cfg.Zone = zone
+		m.Load(cfg)
+	}
+	m.Run(time.Second)
+	lost := 0
+	for _, b := range m.Balancers {
+		if b.Zone == "a" && lost < 4 {
+			b.Down = true
+			lost++
+		}
+	}
+	m.Run(3 * time.Second) // control and the fabric's checks need about two seconds
+	failed := m.Stats.Failed
+	m.Run(4 * time.Second)
+	// Requests that were sent before the callers' zone changed may still fail.
+	c.Assert(m.Stats.Failed-failed <= 1, qt.IsTrue, qt.Commentf("%v", m.Stats))
+	for _, b := range m.Balancers {
+		b.Down = false
+	}
+	m.Run(d)
+	assertNoFaults(c, m)
+	t.Log(m.Stats)
+	before := m.Stats
+	cfg := load(50, time.Second)
+	cfg.Zone = "a"
+	m.Load(cfg)
+	m.Run(4 * time.Second)
+	c.Assert(m.Stats.Failed, qt.Equals, before.Failed, qt.Commentf("%v after the balancers have returned", m.Stats))
+}
+
 // Guards against balancers that all leave the rotation because control is unreachable, although
 // agents respond.
 func TestBalancersServeWithoutControl(t *testing.T) {
--- a/standin/model/caller.go
+++ b/standin/model/caller.go
@@ -107,18 +107,17 @@
 
 func (c *caller) send(p mangokeel.Packet) {
 	p.Source, p.Destination = c.end, Address
-	var ready []*Balancer
-	for _, b := range c.m.Balancers {
-		if b.inRotation() && (b.Zone == c.cfg.Zone || c.cfg.Zone == "") {
-			ready = append(ready, b)
-		}
-	}
-	if len(ready) == 0 {
+	list := c.m.reachable(c.cfg.Zone)
+	if len(list) == 0 {
 		return
 	}
-	b := ready[int(c.number)%len(ready)]
+	b := list[int(c.number)%len(list)]
 	raw := Codec{}.Encode(p)
-	c.m.after(callerDelay, func() { b.balancer.HandleCallerPacket(raw) })
+	c.m.after(callerDelay, func() {
+		if !b.Down {
+			b.balancer.HandleCallerPacket(raw)
+		}
+	})
 }
 
 // ask sends a request until an answer comes.
--- a/standin/model/fleet.go
+++ b/standin/model/fleet.go
@@ -42,6 +42,8 @@
 	// a row take one out of rotation.
 	checkPeriod = 500 * time.Millisecond
 	missLimit   = 2
+	// rotationPeriod is how often control reconsiders which balancers stand by.
+	rotationPeriod = 250 * time.Millisecond
 )
 
 // Host is an instance with an agent and a target.
@@ -71,6 +73,8 @@
 	Ready bool
 	// CutOff balancers reach no other node; callers and the fabric's checks reach them.
 	CutOff bool
+	// Down balancers have no power: whatever is sent to them is lost.
+	Down bool
 
 	address  netip.AddrPort
 	balancer *packet.Balancer
@@ -117,6 +121,8 @@
 	next    uint32
 	faults  []string
 	frozen  map[netip.AddrPort]bool
+	// rotation is control's decision about the balancers.
+	rotation fleet.Rotation
 	// lastFrames is Frames at the last full second; hosts finds a host by its agent.
 	lastFrames int
 	hosts      map[netip.AddrPort]*Host
@@ -146,6 +152,7 @@
 	})
 	m.timers.Every(sweepPeriod, func(time.Time) { m.sweep() })
 	m.timers.Every(checkPeriod, func(time.Time) { m.check() })
+	m.timers.Every(rotationPeriod, func(now time.Time) { m.rotation.Update(now) })
 	m.timers.Every(time.Second, func(time.Time) {
 		m.PeakFrames = max(m.PeakFrames, m.Frames-m.lastFrames)
 		m.lastFrames = m.Frames
@@ -306,12 +313,14 @@
 	h.reach(func() { h.fleet.poll(h.view) })
 }
 
-// pollBalancer brings a balancer up to date, unless it is cut off.
+// pollBalancer brings a balancer up to date, unless control cannot reach it.
 func (m *Fleet) pollBalancer(b *Balancer) {
-	if !b.CutOff {
-		m.poll(b.view)
-		b.heard = m.Now()
+	if b.CutOff || b.Down {
+		return
 	}
+	m.rotation.RecordPoll(b.address.String(), b.Zone, m.Now())
+	m.pollAs(b.view, m.rotation.StandsBy(b.Zone))
+	b.heard = m.Now()
 }
 
 // pollApart brings each node up to date at some moment of the period.
@@ -338,7 +347,7 @@
 // check does what the fabric does: it takes balancers out of rotation.
 func (m *Fleet) check() {
 	for _, b := range m.Balancers {
-		if b.balancer.Serving(b.heard) {
+		if !b.Down && b.balancer.Serving(b.heard) {
 			b.misses = 0
 		} else {
 			b.misses++
@@ -346,10 +355,47 @@
 	}
 }
 
-func (m *Fleet) poll(v *fleet.View) {
+// reachable returns the balancers that the fabric hands the packets of a zone's callers to: those
+// in rotation; all of the zone if these are fewer than half; those of another zone if there are
+// none. Callers without a zone have one pool of all balancers.
+func (m *Fleet) reachable(zone mangokeel.AvailabilityZone) []*Balancer {
+	all, inRotation := m.pool(zone)
+	if len(inRotation) == 0 {
+		for _, b := range m.Balancers {
+			if b.Zone != zone && b.inRotation() {
+				all, inRotation = m.pool(b.Zone)
+				break
+			}
+		}
+	}
+	if 2*len(inRotation) < len(all) {
+		return all
+	}
+	return inRotation
+}
+
+// pool returns a zone's balancers and those of them that are in rotation.
+func (m *Fleet) pool(zone mangokeel.AvailabilityZone) (all, inRotation []*Balancer) {
+	for _, b := range m.Balancers {
+		if !b.Ready || zone != "" && b.Zone != zone {
+			continue
+		}
+		all = append(all, b)
+		if b.inRotation() {
+			inRotation = append(inRotation, b)
+		}
+	}
+	return all, inRotation
+}
+
+// poll brings a node's view up to date.
+func (m *Fleet) poll(v *fleet.View) { m.pollAs(v, false) }
+
+// pollAs brings the view of a node up to date that is told whether to stand by.
+func (m *Fleet) pollAs(v *fleet.View, standby bool) {
 	r := &fleetwire.PollReply{
 		Leading: true, Desired: m.Revision, Whole: true, Routes: m.Routes, Services: m.Services, Zones: m.Zones,
-		Term: 1, All: true, Complete: m.Complete,
+		Term: 1, All: true, Complete: m.Complete, Standby: standby,
 	}
 	oldest := m.Now()
 	for _, h := range m.Hosts {
