packet: an opening that has waited for long is refused without a reset

The model also counted a repeated request as work anew, which alone made it collapse with work above 200 ms: mended; the reset is the agent's own fault. Change: a packet that has waited for more than 175 ms counts as late, as one of a stopped process does: no reset. Balancers take the first four targets of the ranking without sorting all; agents compare eight sampled targets. Figures: TestLateRefusalSendsNoReset fails before.

--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -306,6 +306,53 @@
 	c.Assert((&State{}).Registrars(nil, 7), qt.HasLen, 0)
 }
 
+// Guards against first targets that are not those of the whole ranking, so that balancers and agents
+// would take different agents for a flow's directory.
+func TestFirstTargets(t *testing.T) {
+	c := qt.New(t)
+	s := &State{Targets: map[string][]*Target{}}
+	for i := range 40 {
+		s.Targets["s"] = append(s.Targets["s"], &Target{
+			Agent: addr(i), Zone: mangokeel.AvailabilityZone(rune('a' + i%20)), Silent: i%7 == 0, hash: mix64(uint64(i + 1)),
+		})
+		for flow := range uint64(200) {
+			all := s.RankTargets(nil, "s", "b", mix64(flow))
+			first := s.FirstTargets(nil, "s", "b", mix64(flow))
+			c.Assert(first, qt.HasLen, min(len(all), maxFirstTargets))
+			for j := range first {
+				c.Assert(first[j] == all[j], qt.IsTrue, qt.Commentf("%d targets, flow %d, place %d", i+1, flow, j))
+			}
+		}
+	}
+}
+
+// Guards against samples that leave targets out or name one twice.
+func TestSampleTargets(t *testing.T) {
+	c := qt.New(t)
+	s := &State{Targets: map[string][]*Target{}}
+	for i := range 40 {
+		s.Targets["s"] = append(s.Targets["s"], &Target{Agent: addr(i)})
+	}
+	seen := map[*Target]int{}
+	const rounds = 1000
+	for seed := range uint64(rounds) {
+		sample := s.SampleTargets(nil, "s", mix64(seed+1), 8)
+		c.Assert(len(sample) <= 8, qt.IsTrue)
+		inSample := map[*Target]bool{}
+		for _, t := range sample {
+			c.Assert(inSample[t], qt.IsFalse)
+			inSample[t] = true
+			seen[t]++
+		}
+	}
+	c.Assert(seen, qt.HasLen, 40)
+	for _, n := range seen {
+		c.Assert(n > rounds*8/40/2, qt.IsTrue)
+	}
+	c.Assert(s.SampleTargets(nil, "s", 1, 40), qt.HasLen, 40)
+	c.Assert(s.SampleTargets(nil, "other", 1, 8), qt.HasLen, 0)
+}
+
 // Measures the ranking of targets, which a node does for each packet of an unknown flow.
 func BenchmarkOrder(b *testing.B) {
 	s := &State{Targets: map[string][]*Target{}}
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -206,36 +206,86 @@
 	var buf [maxStackRanked]ranked
 	ranks := buf[:0]
 	for _, t := range s.Targets[service] {
-		h := mix64(t.hash^flow) >> 2
-		if t.Zone == zone {
-			h |= 1 << 62
+		ranks = append(ranks, rank(t, zone, flow))
+	}
+	slices.SortFunc(ranks, ranked.compare)
+	for _, r := range ranks {
+		list = append(list, r.target)
+	}
+	return list
+}
+
+// FirstTargets appends to list the first targets of RankTargets, at most maxFirstTargets. Unlike
+// RankTargets it does not sort all targets.
+func (s *State) FirstTargets(list []*Target, service string, zone mangokeel.AvailabilityZone, flow uint64) []*Target {
+	var buf [maxFirstTargets]ranked
+	n := 0
+	for _, t := range s.Targets[service] {
+		r := rank(t, zone, flow)
+		if n == maxFirstTargets && r.compare(buf[n-1]) > 0 {
+			continue
 		}
-		if !t.Silent {
-			h |= 1 << 63
+		n = min(n+1, maxFirstTargets)
+		at := n - 1
+		for ; at > 0 && r.compare(buf[at-1]) < 0; at-- {
+			buf[at] = buf[at-1]
 		}
-		ranks = append(ranks, ranked{h, t})
+		buf[at] = r
 	}
-	slices.SortFunc(ranks, func(a, b ranked) int {
-		if c := cmp.Compare(b.rank, a.rank); c != 0 {
-			return c
-		}
-		return a.target.Agent.Compare(b.target.Agent)
-	})
-	for _, r := range ranks {
+	for _, r := range buf[:n] {
 		list = append(list, r.target)
 	}
 	return list
 }
 
-// maxStackRanked is the number of targets that are ranked without heap allocation.
-const maxStackRanked = 64
+// SampleTargets appends to list up to n targets of a service, chosen at random by seed.
+func (s *State) SampleTargets(list []*Target, service string, seed uint64, n int) []*Target {
+	all, first := s.Targets[service], len(list)
+	if n >= len(all) {
+		return append(list, all...)
+	}
+	for i := range uint64(n) {
+		if t := all[mix64(seed+i)%uint64(len(all))]; !slices.Contains(list[first:], t) {
+			list = append(list, t)
+		}
+	}
+	return list
+}
 
-// ranked is a target with its rank. The highest rank comes first.
+const (
+	// maxStackRanked is the number of targets that are ranked without heap allocation.
+	maxStackRanked = 64
+	// maxFirstTargets is how many targets FirstTargets returns: the first one and some to use while
+	// its agent does not respond.
+	maxFirstTargets = 4
+)
+
+// ranked is a target with its rank for a flow. The highest rank comes first.
 type ranked struct {
 	rank   uint64
 	target *Target
 }
 
+// rank returns the rank of a target for a flow of a caller in zone.
+func rank(t *Target, zone mangokeel.AvailabilityZone, flow uint64) ranked {
+	h := mix64(t.hash^flow) >> 2
+	if t.Zone == zone {
+		h |= 1 << 62
+	}
+	if !t.Silent {
+		h |= 1 << 63
+	}
+	return ranked{h, t}
+}
+
+// compare returns a negative number if r comes before x.
+func (r ranked) compare(x ranked) int {
+	if c := cmp.Compare(x.rank, r.rank); c != 0 {
+		return c
+	}
+	return r.target.Agent.Compare(x.target.Agent)
+}
+
 // mix64 is the 64-bit finalizer of MurmurHash3. Each input bit affects all output bits.
 func mix64(x uint64) uint64 {
 	x ^= x >> 33
--- a/internal/packet/agent_test.go
+++ b/internal/packet/agent_test.go
@@ -113,6 +113,40 @@
 		mangokeel.Packet{Opening: true, Sequence: 9}
 }
 
+// Guards against a reset of a flow that a copy of its opening packet has opened elsewhere: a packet
+// that waits for the longest time and is refused with a late sweep (seed 72 of TestReturningCrowd
+// with work of 150 ms, before the model's targets ignored repeated requests).
+func TestLateRefusalSendsNoReset(t *testing.T) {
+	for _, x := range []struct {
+		after  time.Duration
+		resets int
+	}{
+		{155 * time.Millisecond, 1},
+		{195 * time.Millisecond, 0},
+	} {
+		c := qt.New(t)
+		r := reply(1, "s")
+		r.Routes[0].TargetMs = 800
+		r.Announcements = r.Announcements[:1] // no other target
+		n := newTestAgent(c, r)
+		for i := range 40 {
+			f, p := open(1)
+			p.Sequence = uint32(100 + i)
+			f.Waited = true // opened or refused, but not queued
+			b, err := fleetwire.Append(nil, f, model.Codec{}.Encode(mangokeel.Packet{
+				Source: benchFlow(i), Destination: model.Address, Opening: true, Sequence: p.Sequence,
+			}))
+			c.Assert(err, qt.IsNil)
+			n.agent.HandleFrame(b)
+		}
+		n.resets = nil
+		n.receive(open(1))
+		n.now = n.now.Add(x.after)
+		n.agent.Sweep()
+		c.Assert(n.resets, qt.HasLen, x.resets, qt.Commentf("refused after %v", x.after))
+	}
+}
+
 // Guards against flows that are opened by an older configuration than the newest that the balancer
 // or the agent has.
 func TestNewerConfigurationDecides(t *testing.T) {
--- a/internal/packet/balancer.go
+++ b/internal/packet/balancer.go
@@ -140,7 +140,8 @@
 func (b *Balancer) forwardOpening(s *fleet.State, route *fleet.Route, f mangokeel.Flow, p mangokeel.Packet, late bool, raw []byte) {
 	h := hashOf(f)
 	service := route.ChooseService(h)
-	b.candidates = s.RankTargets(b.candidates[:0], service, b.cfg.Zone, h)
+	now := b.now()
+	b.rankCandidates(s, service, h, now)
 	if len(b.candidates) == 0 {
 		if p.Copy == 0 && s.TargetsKnown(b.now()) {
 			b.events.record(Refused, f, "reason", "no target", "service", service, "revision", s.Revision)
@@ -150,7 +151,6 @@
 		b.events.count(Dropped)
 		return
 	}
-	now := b.now()
 	if p.Copy > 0 {
 		b.reachability.recordRetransmit(now)
 	}
@@ -177,11 +177,29 @@
 	b.frame.Late = false
 }
 
+// rankCandidates sets candidates to the first targets of a flow, or to all if none of the first ones
+// is responsive.
+func (b *Balancer) rankCandidates(s *fleet.State, service string, flow uint64, now time.Time) {
+	b.candidates = s.FirstTargets(b.candidates[:0], service, b.cfg.Zone, flow)
+	for _, t := range b.candidates {
+		if b.responsive(t, now) {
+			return
+		}
+	}
+	b.candidates = s.RankTargets(b.candidates[:0], service, b.cfg.Zone, flow)
+}
+
+// responsive reports whether the agent of a target is not considered unresponsive.
+func (b *Balancer) responsive(t *fleet.Target, now time.Time) bool {
+	x := b.health[t.Agent]
+	return x == nil || !now.Before(x.suspectUntil)
+}
+
 // firstResponsive returns the first candidate whose agent is not considered unresponsive, or the
 // first candidate if all are.
 func (b *Balancer) firstResponsive(now time.Time) *fleet.Target {
 	for _, t := range b.candidates {
-		if x := b.health[t.Agent]; x == nil || !now.Before(x.suspectUntil) {
+		if b.responsive(t, now) {
 			return t
 		}
 	}
@@ -191,7 +209,7 @@
 // nextResponsive returns the first responsive candidate other than t, or t if there is none.
 func (b *Balancer) nextResponsive(t *fleet.Target, now time.Time) *fleet.Target {
 	for _, u := range b.candidates {
-		if x := b.health[u.Agent]; u != t && (x == nil || !now.Before(x.suspectUntil)) {
+		if u != t && b.responsive(u, now) {
 			return u
 		}
 	}
@@ -247,10 +265,10 @@
 		delete(b.hints, f)
 	}
 	h := hashOf(f)
-	b.candidates = s.RankTargets(b.candidates[:0], route.ChooseService(h), b.cfg.Zone, h)
+	b.rankCandidates(s, route.ChooseService(h), h, now)
 	for _, service := range route.FormerServices {
 		if len(b.candidates) == 0 {
-			b.candidates = s.RankTargets(b.candidates[:0], service, b.cfg.Zone, h)
+			b.rankCandidates(s, service, h, now)
 		}
 	}
 	if len(b.candidates) == 0 {
--- a/internal/packet/fleet_test.go
+++ b/internal/packet/fleet_test.go
@@ -22,6 +22,8 @@
 type fleetSize struct {
 	hosts, balancers, zones int
 	requestsPerSecond       float64
+	// target is targetConfig unless it is set.
+	target model.TargetConfig
 }
 
 var (
@@ -42,8 +44,11 @@
 	if testing.Verbose() {
 		m.Logger = log.NewLogfmtLogger(os.Stdout)
 	}
+	if s.target == (model.TargetConfig{}) {
+		s.target = targetConfig
+	}
 	for i := range s.hosts {
-		m.AddHost(s.zone(i), targetConfig)
+		m.AddHost(s.zone(i), s.target)
 	}
 	for i := range s.balancers {
 		m.AddBalancer(s.zone(i))
@@ -180,7 +185,7 @@
 	}
 	m.Run(2 * time.Second)
 	for _, h := range m.Hosts {
-		h.StartTarget(targetConfig)
+		h.StartTarget(h.Target.Config())
 		h.Target.ColdUntil = m.Now().Add(2 * time.Second)
 		h.StartAgent()
 	}
--- a/internal/packet/placement.go
+++ b/internal/packet/placement.go
@@ -58,6 +58,9 @@
 	// network partitions last for seconds.
 	initialRetryDelay = time.Second
 	maxRetryDelay     = 8 * time.Second
+	// sampledTargets is how many targets are compared for a new flow that the own target does not
+	// take.
+	sampledTargets = 8
 	// maxRequestsPerSlot bounds the requests that a target gets per slot, running and queued:
 	// hosts queue a few requests per slot.
 	maxRequestsPerSlot = 5
@@ -332,7 +335,9 @@
 		lowest = expectedLatency(busy, a.stats.serviceTime(), a.admission.slots, a.cfg.Zone != zone, a.admission.isCold(now)) +
 			failurePenalty(a.stats.failureRate(now))
 	}
-	a.targetBuf = s.RankTargets(a.targetBuf[:0], service, zone, hashOf(f))
+	// Each agent that the frame passes samples other targets.
+	seed := hashOf(f) + uint64(len(x.GetPassed()))*sampledTargets
+	a.targetBuf = s.SampleTargets(a.targetBuf[:0], service, seed, sampledTargets)
 	for _, t := range a.targetBuf {
 		e := a.loads[t.Agent]
 		if !a.acceptsFlows(s, t) || containsAddress(x.GetPassed(), t.Agent) || e.unresponsive(now) {
--- a/internal/packet/queue.go
+++ b/internal/packet/queue.go
@@ -16,6 +16,9 @@
 	waitDivisor = 4
 	// maxWait bounds the wait: callers send a copy after 200 ms.
 	maxWait = 150 * time.Millisecond
+	// maxResetWait is how long a packet may have waited to be refused with a reset, which must reach
+	// the caller before a copy can have opened the flow elsewhere.
+	maxResetWait = maxWait + 25*time.Millisecond
 	// defaultTargetTime is the target time of routes that set none.
 	defaultTargetTime = 100 * time.Millisecond
 	// firstCopyAge and secondCopyAge are the ages at which callers send copies of an opening
@@ -49,6 +52,11 @@
 	list []queuedPacket
 }
 
+// markLate marks the packet as late once it has waited for longer than maxResetWait.
+func (w *queuedPacket) markLate(now time.Time) {
+	w.frame.Late = w.frame.GetLate() || now.Sub(w.queuedAt) > maxResetWait
+}
+
 // contains reports whether a flow's opening packet is queued.
 func (q *queue) contains(f mangokeel.Flow) bool {
 	return slices.ContainsFunc(q.list, func(w queuedPacket) bool { return w.flow == f })
@@ -151,6 +159,7 @@
 			return // the target is full, so all packets behind must wait too
 		}
 		a.queue.pop()
+		w.markLate(a.now())
 		a.placeElsewhere(s, w.frame, w.flow, w.packet, w.raw)
 	}
 }
@@ -167,6 +176,7 @@
 // refuseExpired refuses packets whose deadline has passed.
 func (a *Agent) refuseExpired(now time.Time) {
 	for _, w := range a.queue.removeExpired(now) {
+		w.markLate(now)
 		a.refuse(w.frame, w.flow, w.packet, "waited too long")
 	}
 }
--- a/standin/model/fleet.go
+++ b/standin/model/fleet.go
@@ -210,7 +210,7 @@
 		h.Target.ended = true
 	}
 	h.Target = &Target{
-		fleet: h.fleet, host: h, cfg: cfg, born: h.fleet.Now(), flows: map[mangokeel.Flow]bool{},
+		fleet: h.fleet, host: h, cfg: cfg, born: h.fleet.Now(), flows: map[mangokeel.Flow]bool{}, asked: map[mangokeel.Flow]uint32{},
 		id: fmt.Sprintf("%s-%d", h.Agent, h.fleet.Now().UnixMilli()),
 	}
 }
--- a/standin/model/target.go
+++ b/standin/model/target.go
@@ -36,7 +36,10 @@
 	// FailShare is the part of the requests that the target answers with a failure, at once.
 	FailShare float64
 
-	flows   map[mangokeel.Flow]bool
+	flows map[mangokeel.Flow]bool
+	// asked has the sequence number of each flow's last request, which callers repeat until the
+	// answer comes.
+	asked   map[mangokeel.Flow]uint32
 	running int
 	waiting []mangokeel.Flow
 	// Opened has the times of the opening packets that the target took.
@@ -49,6 +52,9 @@
 	ended          bool
 }
 
+// Config returns how the target works.
+func (t *Target) Config() TargetConfig { return t.cfg }
+
 func (t *Target) report() packet.Report {
 	t.seq++
 	return packet.Report{
@@ -82,10 +88,14 @@
 		t.send(returnedPacket(p))
 	case p.Final || p.Reset:
 		delete(t.flows, f)
+		delete(t.asked, f)
 		if p.Final {
 			t.send(mangokeel.Packet{Source: f.Address, Destination: f.Caller, Final: true})
 		}
+	case p.Size > 0 && t.asked[f] == p.Sequence:
+		// repeated
 	case p.Size > 0:
+		t.asked[f] = p.Sequence
 		if t.fleet.rand.Float64() < t.FailShare {
 			t.FailedRequests++
 			t.send(mangokeel.Packet{Source: f.Address, Destination: f.Caller, Sequence: t.host.number, Size: 100, Failed: true})
