--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -25,8 +25,12 @@
 	// requestTimeout is how long an accepted flow without a request counts as work in progress.
 	// The caller sends the request with its first packet, and the longest round trip is 20 ms.
 	requestTimeout = 150 * time.Millisecond
-	// maxPasses is how many agents may pass an opening packet on before the caller is refused.
-	maxPasses = 4
+	// maxPasses is how many agents may pass an opening packet on before it waits or the caller is
+	// refused.
+	maxPasses = 2
+	// maxSearchPasses is how many agents may have passed on a packet of an open flow that an agent
+	// still searches for: its directory, two owners that have lost it, and one more.
+	maxSearchPasses = 4
 	// hintInterval is the minimum time between hints about one flow: callers retransmit after
 	// 200 ms.
 	hintInterval = 150 * time.Millisecond
--- a/internal/packet/search.go
+++ b/internal/packet/search.go
@@ -147,7 +147,7 @@
 		return
 	}
 	l, wasLost := a.failedSearches[f]
-	if a.searches[f] != nil || wasLost && l.ended || len(x.GetPassed()) >= maxPasses {
+	if a.searches[f] != nil || wasLost && l.ended || len(x.GetPassed()) >= maxSearchPasses {
 		a.events.count(Dropped)
 		return
 	}
