control: terms of the field for contacts, leases, homes and proposals

Ruled out: names on the wire, in logs, metrics and settings: they stay (Beat, seal, SilentMs). No change of behaviour.

--- a/internal/control/control.go
+++ b/internal/control/control.go
@@ -1,9 +1,9 @@
-// Package control is the control process: it serves nodes and operators from the
-// roster behind the replicated log.
+// Package control implements the control process, which serves nodes and operators
+// from the roster behind the replicated log.
 //
-// Every instance answers reads and long polls from its own copy of the roster
-// while a majority confirmed it recently, and passes proposals and what it heard
-// from nodes to the leader. The leader alone decides on leases and weights:
+// Every instance answers reads and long polls from its own copy of the roster as long
+// as a majority has confirmed it recently. It forwards proposals and the contacts of
+// nodes to the leader, which alone decides on leases and weights:
 //
 //	m := roster.New()
 //	c := control.New(cfg, m, log, remote, timers)
@@ -31,14 +31,14 @@
 const (
 	// maxAge is the oldest confirmation by a majority that is served as current.
 	maxAge = 2 * time.Second
-	// maxPoll bounds the long polls of nodes, so that an idle node renews its
-	// lease three times within it.
+	// maxPoll bounds the long polls of nodes. An idle node renews its lease with
+	// each poll, so three times within leaseDuration.
 	maxPoll = time.Second
 	// maxWatch bounds the long polls of operators.
 	maxWatch = 30 * time.Second
 )
 
-// Control is one instance. Close ends it.
+// Control is one control instance. Close stops it.
 type Control struct {
 	cfg     *settings.Control
 	machine *roster.Machine
@@ -50,10 +50,10 @@
 	members Members
 	packer  wire.Packer
 
-	queue  *queue
-	heard  *heard
-	leases *leases
-	joins  *pace
+	queue       *queue
+	contacts    *contactBuffer
+	leases      *leases
+	joinLimiter *joinRateLimiter
 
 	ctx    context.Context
 	cancel context.CancelFunc
@@ -61,18 +61,18 @@
 	work   sync.WaitGroup
 }
 
-// Members is the set of control instances. replica.Node implements it.
+// Members lists and replaces control instances. replica.Node implements it.
 type Members interface {
 	Members() []replica.Member
-	// Replace admits the instance at addr in place of old, an id or a name. It
-	// works on the leader.
+	// Replace admits the instance at addr in place of old, which is an ID or a name.
+	// It succeeds only on the leader.
 	Replace(ctx context.Context, old string, addr netip.AddrPort) error
 }
 
-// Option changes a Control.
+// Option configures a Control.
 type Option func(*Control)
 
-// WithLogger sets the logger for changes of state.
+// WithLogger sets the logger for state changes.
 func WithLogger(l kitlog.Logger) Option { return func(c *Control) { c.logger = l } }
 
 // WithRegisterer registers the metrics.
@@ -80,39 +80,39 @@
 	return func(c *Control) { c.metrics.register(r, c) }
 }
 
-// WithMembers sets what lists and replaces control instances.
+// WithMembers sets the list of control instances that operators see and change.
 func WithMembers(m Members) Option { return func(c *Control) { c.members = m } }
 
-// New starts an instance over a log that applies to machine. cfg must have been
-// checked.
+// New starts an instance. machine must be the state machine of the log, and cfg must be
+// valid.
 func New(cfg *settings.Control, machine *roster.Machine, log mangokeel.Log, remote mangokeel.Remote, timers mangokeel.Timers, opts ...Option) *Control {
 	ctx, cancel := context.WithCancel(context.Background())
 	c := &Control{
-		cfg:     cfg,
-		machine: machine,
-		log:     log,
-		remote:  remote,
-		timers:  timers,
-		logger:  kitlog.NewNopLogger(),
-		metrics: newMetrics(),
-		heard:   newHeard(),
-		leases:  newLeases(),
-		joins:   newPace(joinPace),
-		ctx:     ctx,
-		cancel:  cancel,
+		cfg:         cfg,
+		machine:     machine,
+		log:         log,
+		remote:      remote,
+		timers:      timers,
+		logger:      kitlog.NewNopLogger(),
+		metrics:     newMetrics(),
+		contacts:    newContactBuffer(),
+		leases:      newLeases(),
+		joinLimiter: newJoinRateLimiter(joinInterval),
+		ctx:         ctx,
+		cancel:      cancel,
 	}
 	for _, o := range opts {
 		o(c)
 	}
 	c.queue = newQueue(c)
 	c.subs = []mangokeel.Subscription{
-		timers.Every(reportPeriod, c.single(c.report)),
-		timers.Every(sweepPeriod, c.single(c.sweep)),
+		timers.Every(reportPeriod, c.skipWhileRunning(c.report)),
+		timers.Every(sweepPeriod, c.skipWhileRunning(c.sweep)),
 	}
 	return c
 }
 
-// Close ends all calls and background work.
+// Close cancels all calls and waits for background work.
 func (c *Control) Close() {
 	for _, s := range c.subs {
 		s.Cancel()
@@ -121,9 +121,9 @@
 	c.work.Wait()
 }
 
-// single returns a function that runs fn in a goroutine unless the last run is
-// still going.
-func (c *Control) single(fn func(now time.Time)) func(time.Time) {
+// skipWhileRunning returns a function that runs fn in a goroutine unless the previous
+// run has not returned yet.
+func (c *Control) skipWhileRunning(fn func(now time.Time)) func(time.Time) {
 	slot := make(chan struct{}, 1)
 	return func(now time.Time) {
 		select {
@@ -140,7 +140,7 @@
 	}
 }
 
-// Methods returns what the instance answers, besides the log's own methods.
+// Methods returns the RPC methods of the instance, without those of the log.
 func (c *Control) Methods() jsonrpc.Methods {
 	return jsonrpc.Methods{
 		"join":    method(c, "join", c.join),
@@ -160,7 +160,7 @@
 	}
 }
 
-// method wraps a typed handler.
+// method counts the calls of a typed handler and cancels them when the instance closes.
 func method[Q any, P jsonrpc.Request[Q], R proto.Message](c *Control, name string, fn func(context.Context, P) (R, error)) jsonrpc.Method {
 	return jsonrpc.NewMethod(func(ctx context.Context, req P) (R, error) {
 		c.metrics.calls.WithLabelValues(name).Inc()
@@ -171,11 +171,11 @@
 	})
 }
 
-// current reports whether a majority confirmed this instance's state recently.
-func (c *Control) current() bool { return c.log.Status().Age <= maxAge }
+// isCurrent reports whether a majority has confirmed this instance's state within maxAge.
+func (c *Control) isCurrent() bool { return c.log.Status().Age <= maxAge }
 
-// reach waits until the instance has applied a revision.
-func (c *Control) reach(ctx context.Context, r mangokeel.Revision) error {
+// awaitRevision waits until the instance has applied a revision.
+func (c *Control) awaitRevision(ctx context.Context, r mangokeel.Revision) error {
 	for {
 		changed := c.machine.Changed()
 		if c.machine.Revision() >= r {
@@ -189,7 +189,7 @@
 	}
 }
 
-// sleep waits for d. It is false when ctx ended first.
+// sleep waits for d and returns false if ctx ends first.
 func (c *Control) sleep(ctx context.Context, d time.Duration) bool {
 	due := make(chan struct{})
 	s := c.timers.After(d, func(time.Time) { close(due) })
--- a/internal/control/lease.go
+++ b/internal/control/lease.go
@@ -15,36 +15,36 @@
 )
 
 const (
-	// lease is how long a silent node stays in the roster.
-	lease = 3 * time.Second
-	// reportPeriod is how often an instance tells the leader what it heard.
+	// leaseDuration is how long a node stays in the roster without a contact.
+	leaseDuration = 3 * time.Second
+	// reportPeriod is how often an instance reports the contacts of nodes to the leader.
 	reportPeriod = 250 * time.Millisecond
-	// sweepPeriod is how often the leader looks for ended leases and new weights.
+	// sweepPeriod is how often the leader checks leases and weights.
 	sweepPeriod = 250 * time.Millisecond
-	// sweepGap is the longest time between two sweeps of a running leader. After
-	// a longer one the process was stopped, and what it last heard says nothing.
-	sweepGap = time.Second
-	// instanceSilence is after how long without a report an instance counts as cut
-	// off or stopped.
-	instanceSilence = time.Second
-	// moveTime extends the leases of nodes that were last heard by such an
-	// instance. They leave it after a call has timed out, 2 s, and what it heard
-	// in its last moments was not reported.
-	moveTime = 2500 * time.Millisecond
-	// weightPeriod is the shortest time between two weights of one target.
+	// maxSweepGap is the longest time between two sweeps of a running leader. After a
+	// longer one the process was suspended, so the contacts before it are out of date.
+	maxSweepGap = time.Second
+	// instanceTimeout is the time without a report after which an instance counts as
+	// partitioned or stopped.
+	instanceTimeout = time.Second
+	// reconnectTime extends the leases of nodes whose last contact was with such an
+	// instance. They leave it after a call has timed out, which takes 2 s, and its
+	// contacts of the last moments were not reported.
+	reconnectTime = 2500 * time.Millisecond
+	// weightPeriod is the minimum time between two changes of a target's weight.
 	weightPeriod = 2 * time.Second
-	// releasePeriod is how often releases are proposed. Each batch changes epochs,
-	// and so costs every balancer an update; chains may shrink a second later.
+	// releasePeriod is how often releases are proposed. Each batch changes epochs, which
+	// sends an update to every balancer.
 	releasePeriod = time.Second
-	// weightChange is the smallest relative change of a weight that is proposed,
-	// because each one moves buckets.
+	// weightChange is the smallest relative change of a weight that is proposed, since
+	// each change moves buckets.
 	weightChange = 0.2
-	// maxWeight is the weight of a target that can bear its full share.
+	// maxWeight is the weight of a target that can take its full share.
 	maxWeight = 256
-	// lagAge is the time within which a change should be in force everywhere.
-	lagAge = 2 * time.Second
-	// maxExpire bounds the nodes removed by one command.
-	maxExpire = 512
+	// lagThreshold is the time after which a node without a change counts as lagging.
+	lagThreshold = 2 * time.Second
+	// maxExpirations bounds the nodes removed by one command.
+	maxExpirations = 512
 )
 
 // nodeKey identifies a node.
@@ -53,13 +53,15 @@
 	id   uint32
 }
 
-// heard is what this instance heard from nodes since the last report.
-type heard struct {
+// contactBuffer collects the contacts of nodes with this instance since the last report.
+type contactBuffer struct {
 	mu    sync.Mutex
-	nodes map[nodeKey]*beat
+	nodes map[nodeKey]*contact
 }
 
-type beat struct {
+// contact is the latest contact of a node, with what it reported.
+type contact struct {
+	// at is the time of the contact, or zero if only the revision is new.
 	at       time.Time
 	revision uint64
 	load     *wire.Load
@@ -67,15 +69,15 @@
 	ready    uint64
 }
 
-func newHeard() *heard { return &heard{nodes: map[nodeKey]*beat{}} }
+func newContactBuffer() *contactBuffer { return &contactBuffer{nodes: map[nodeKey]*contact{}} }
 
-func (h *heard) add(now time.Time, req *wire.SyncRequest) {
+func (h *contactBuffer) add(now time.Time, req *wire.SyncRequest) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
-	h.nodes[nodeKey{req.GetRole(), req.GetId()}] = &beat{at: now, revision: req.GetRevision(), load: req.GetLoad(), release: releaseOf(req), ready: req.GetReady()}
+	h.nodes[nodeKey{req.GetRole(), req.GetId()}] = &contact{at: now, revision: req.GetRevision(), load: req.GetLoad(), release: releaseOf(req), ready: req.GetReady()}
 }
 
-// releaseOf returns the node's release for its own handle only.
+// releaseOf returns an agent's release, restricted to its own handle.
 func releaseOf(req *wire.SyncRequest) *wire.Release {
 	r := req.GetRelease()
 	if r == nil || req.GetRole() != agentRole {
@@ -85,31 +87,31 @@
 	return r
 }
 
-// reached notes that a waiting node needs no record to be at a revision.
-func (h *heard) reached(req *wire.SyncRequest, revision uint64) {
+// recordRevision records that a waiting node is up to date with a revision that changed
+// none of its records.
+func (h *contactBuffer) recordRevision(req *wire.SyncRequest, revision uint64) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	k := nodeKey{req.GetRole(), req.GetId()}
 	b := h.nodes[k]
 	if b == nil {
-		// The time was already reported; the zero time leaves it as it is.
-		b = &beat{}
+		b = &contact{}
 		h.nodes[k] = b
 	}
 	b.revision = max(b.revision, revision)
 }
 
-// take returns and forgets what was heard.
-func (h *heard) take() map[nodeKey]*beat {
+// take returns the collected contacts and clears the buffer.
+func (h *contactBuffer) take() map[nodeKey]*contact {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	out := h.nodes
-	h.nodes = map[nodeKey]*beat{}
+	h.nodes = map[nodeKey]*contact{}
 	return out
 }
 
-// restore puts back what could not be reported, under what was heard since.
-func (h *heard) restore(nodes map[nodeKey]*beat) {
+// restore returns contacts that could not be reported to the buffer. Newer ones take precedence.
+func (h *contactBuffer) restore(nodes map[nodeKey]*contact) {
 	h.mu.Lock()
 	defer h.mu.Unlock()
 	for k, old := range nodes {
@@ -125,13 +127,13 @@
 	}
 }
 
-// neverHeard is the silence in a beat that only tells a revision.
-const neverHeard = math.MaxUint32
+// noContact is the value of Beat.silent_ms in a record that carries only a revision.
+const noContact = math.MaxUint32
 
-func beats(now time.Time, nodes map[nodeKey]*beat) []*wire.Beat {
+func encodeContacts(now time.Time, nodes map[nodeKey]*contact) []*wire.Beat {
 	out := make([]*wire.Beat, 0, len(nodes))
 	for k, b := range nodes {
-		silent := uint32(neverHeard)
+		silent := uint32(noContact)
 		if !b.at.IsZero() {
 			silent = uint32(now.Sub(b.at).Milliseconds())
 		}
@@ -140,64 +142,65 @@
 	return out
 }
 
-// report tells the leader what this instance heard.
+// report sends the contacts of nodes to the leader.
 func (c *Control) report(now time.Time) {
 	st := c.log.Status()
-	nodes := c.heard.take()
-	list := beats(now, nodes)
+	nodes := c.contacts.take()
+	list := encodeContacts(now, nodes)
 	if st.Leading {
-		c.leases.hear(now, c.cfg.Name, list)
+		c.leases.recordContacts(now, c.cfg.Name, list)
 		return
 	}
-	ctx, cancel := context.WithTimeout(c.ctx, tryTimeout)
+	ctx, cancel := context.WithTimeout(c.ctx, attemptTimeout)
 	defer cancel()
-	if _, err := c.ask(ctx, st, &wire.ForwardRequest{Report: true, Beats: list}); err != nil {
+	if _, err := c.callLeader(ctx, st, &wire.ForwardRequest{Report: true, Beats: list}); err != nil {
 		c.metrics.unreported.Inc()
-		c.heard.restore(nodes)
+		c.contacts.restore(nodes)
 	}
 }
 
-// leases is what the leader knows of the nodes.
+// leases holds the leader's state of all nodes.
 type leases struct {
 	mu sync.Mutex
-	// since is when this instance began to lead, or resumed after a stop. No
-	// lease ends within one lease of it.
-	since time.Time
-	// term is the one that since belongs to; 0 while not leading.
-	term  uint64
-	swept time.Time
-	// released is when releases were proposed last.
-	released time.Time
-	nodes    map[nodeKey]*nodeState
+	// leadingSince is when this instance became leader, or resumed after a suspension. No
+	// lease expires within leaseDuration of it.
+	leadingSince time.Time
+	// term is the term to which leadingSince belongs, or 0 if the instance does not lead.
+	term    uint64
+	sweptAt time.Time
+	// releasedAt is when releases were last proposed.
+	releasedAt time.Time
+	nodes      map[nodeKey]*nodeState
 	// instances has the time of each instance's last report.
 	instances map[string]time.Time
-	// mark and next are revisions of at least one and of less than one lagAge ago.
-	mark, next uint64
-	marked     time.Time
-	// lagging counts the nodes that do not have mark in force.
+	// lagRevision was current at least one lagThreshold ago; nextLagRevision replaces it
+	// at the next update. lagRevisionAt is the time of the last update.
+	lagRevision, nextLagRevision uint64
+	lagRevisionAt                time.Time
+	// lagging counts the nodes whose revision is lower than lagRevision.
 	lagging int
-	// wanted has the homes that services should have and do not.
-	wanted map[uint32]wanted
+	// wantedHomes has the target homes of services whose homes differ from them.
+	wantedHomes map[uint32]wantedHome
 }
 
 type nodeState struct {
 	at time.Time
-	// via is the instance that heard the node last.
-	via      string
-	revision uint64
-	load     *wire.Load
-	release  *wire.Release
-	// ready is the epoch of the joint home for which the agent is ready.
+	// reportedBy is the instance with which the node was last in contact.
+	reportedBy string
+	revision   uint64
+	load       *wire.Load
+	release    *wire.Release
+	// ready is the epoch of the joint home for which the agent has declared itself ready.
 	ready uint64
-	// weighed is when the last weight was proposed.
-	weighed time.Time
+	// lastWeightAt is when a weight was last proposed.
+	lastWeightAt time.Time
 }
 
 func newLeases() *leases {
 	return &leases{nodes: map[nodeKey]*nodeState{}, instances: map[string]time.Time{}}
 }
 
-func (l *leases) hear(now time.Time, from string, list []*wire.Beat) {
+func (l *leases) recordContacts(now time.Time, from string, list []*wire.Beat) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.instances[from] = now
@@ -208,20 +211,20 @@
 			n = &nodeState{}
 			l.nodes[k] = n
 		}
-		n.take(now, from, b)
+		n.update(now, from, b)
 	}
 }
 
-func (n *nodeState) take(now time.Time, from string, b *wire.Beat) {
+func (n *nodeState) update(now time.Time, from string, b *wire.Beat) {
 	n.revision = max(n.revision, b.GetRevision())
-	if b.GetSilentMs() == neverHeard {
+	if b.GetSilentMs() == noContact {
 		return
 	}
 	at := now.Add(-time.Duration(b.GetSilentMs()) * time.Millisecond)
 	if at.Before(n.at) {
 		return
 	}
-	n.at, n.via = at, from
+	n.at, n.reportedBy = at, from
 	n.ready = b.GetReady()
 	if b.GetLoad() != nil {
 		n.load = b.GetLoad()
@@ -231,8 +234,9 @@
 	}
 }
 
-// begin notes whether this instance leads and returns true once leases may end.
-func (l *leases) begin(now time.Time, st mangokeel.LogStatus) bool {
+// observeLeadership records whether this instance leads and reports whether it does. Its
+// state is cleared when the leadership ends.
+func (l *leases) observeLeadership(now time.Time, st mangokeel.LogStatus) bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	if !st.Leading {
@@ -241,24 +245,24 @@
 		clear(l.instances)
 		return false
 	}
-	if l.term != st.Term || now.Sub(l.swept) > sweepGap {
-		l.term, l.since = st.Term, now
+	if l.term != st.Term || now.Sub(l.sweptAt) > maxSweepGap {
+		l.term, l.leadingSince = st.Term, now
 	}
-	l.swept = now
+	l.sweptAt = now
 	return true
 }
 
-// sweep is the leader's regular work: it ends leases and proposes weights and
-// releases.
+// sweep runs the leader's periodic tasks: it expires leases and proposes weights,
+// releases and claim homes.
 func (c *Control) sweep(now time.Time) {
-	if !c.leases.begin(now, c.log.Status()) {
+	if !c.leases.observeLeadership(now, c.log.Status()) {
 		return
 	}
-	c.leases.lag(now, uint64(c.machine.Revision()))
+	c.leases.countLagging(now, uint64(c.machine.Revision()))
 	batch := &wire.CommandBatch{}
-	batch.Commands = append(batch.Commands, c.ended(now)...)
-	batch.Commands = append(batch.Commands, c.loads(now)...)
-	batch.Commands = append(batch.Commands, c.homes(now)...)
+	batch.Commands = append(batch.Commands, c.expireCommands(now)...)
+	batch.Commands = append(batch.Commands, c.loadCommands(now)...)
+	batch.Commands = append(batch.Commands, c.homeCommands(now)...)
 	if len(batch.GetCommands()) == 0 {
 		return
 	}
@@ -267,33 +271,33 @@
 	}
 }
 
-// lag counts the nodes that lag.
-func (l *leases) lag(now time.Time, revision uint64) {
+// countLagging counts the nodes that have not reached lagRevision.
+func (l *leases) countLagging(now time.Time, revision uint64) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if now.Sub(l.marked) >= lagAge {
-		l.mark, l.next, l.marked = l.next, revision, now
+	if now.Sub(l.lagRevisionAt) >= lagThreshold {
+		l.lagRevision, l.nextLagRevision, l.lagRevisionAt = l.nextLagRevision, revision, now
 	}
 	l.lagging = 0
 	for _, n := range l.nodes {
-		if n.revision < l.mark {
+		if n.revision < l.lagRevision {
 			l.lagging++
 		}
 	}
 }
 
-// ended returns the command that removes the nodes whose lease ended, or none.
-func (c *Control) ended(now time.Time) []*wire.Command {
+// expireCommands returns the command that removes the nodes with expired leases, if any.
+func (c *Control) expireCommands(now time.Time) []*wire.Command {
 	x := &wire.Expire{}
 	c.leases.mu.Lock()
 	defer c.leases.mu.Unlock()
 	for _, t := range c.machine.Targets() {
-		if len(x.GetHandles()) < maxExpire && c.leases.over(now, nodeKey{agentRole, t.GetHandle()}) {
+		if len(x.GetHandles()) < maxExpirations && c.leases.expired(now, nodeKey{agentRole, t.GetHandle()}) {
 			x.Handles = append(x.Handles, t.GetHandle())
 		}
 	}
 	for _, b := range c.machine.Balancers() {
-		if len(x.GetBalancers()) < maxExpire && c.leases.over(now, nodeKey{wire.Role_ROLE_BALANCER, b.GetId()}) {
+		if len(x.GetBalancers()) < maxExpirations && c.leases.expired(now, nodeKey{wire.Role_ROLE_BALANCER, b.GetId()}) {
 			x.Balancers = append(x.Balancers, b.GetId())
 		}
 	}
@@ -306,29 +310,29 @@
 	return []*wire.Command{{Body: &wire.Command_Expire{Expire: x}}}
 }
 
-// over reports whether a node's lease ended. mu is held. A node that was never
-// heard has joined within the last report period or has been silent since this
-// instance began to lead; its lease starts at the first sweep that sees it.
-func (l *leases) over(now time.Time, k nodeKey) bool {
+// expired reports whether a node's lease has expired. A node without a contact has either
+// joined within the last report period or been silent since this instance became leader; its
+// lease starts with the first sweep that finds it. mu is held.
+func (l *leases) expired(now time.Time, k nodeKey) bool {
 	n := l.nodes[k]
 	if n == nil {
 		n = &nodeState{at: now}
 		l.nodes[k] = n
 	}
-	at := later(n.at, l.since)
-	if last, ok := l.instances[n.via]; ok && now.Sub(last) > instanceSilence {
-		return now.Sub(at) > lease+moveTime
+	at := later(n.at, l.leadingSince)
+	if last, ok := l.instances[n.reportedBy]; ok && now.Sub(last) > instanceTimeout {
+		return now.Sub(at) > leaseDuration+reconnectTime
 	}
-	return now.Sub(at) > lease
+	return now.Sub(at) > leaseDuration
 }
 
-// loads returns the commands for new weights and releases, and forgets the nodes
-// that are no longer in the roster.
-func (c *Control) loads(now time.Time) []*wire.Command {
+// loadCommands returns the commands for new weights and releases, and removes the state of
+// nodes that are no longer in the roster.
+func (c *Control) loadCommands(now time.Time) []*wire.Command {
 	c.leases.mu.Lock()
 	defer c.leases.mu.Unlock()
 	weights := &wire.Weights{}
-	releasing := now.Sub(c.leases.released) >= releasePeriod
+	releasing := now.Sub(c.leases.releasedAt) >= releasePeriod
 	var out []*wire.Command
 	for k, n := range c.leases.nodes {
 		if k.role != agentRole {
@@ -342,7 +346,7 @@
 			delete(c.leases.nodes, k)
 			continue
 		}
-		if w, ok := n.weigh(now, t); ok {
+		if w, ok := n.weightToPropose(now, t); ok {
 			weights.Weights = append(weights.Weights, w)
 		}
 		if len(t.GetPacked()) == 0 {
@@ -354,7 +358,7 @@
 		}
 	}
 	if len(out) > 0 {
-		c.leases.released = now
+		c.leases.releasedAt = now
 	}
 	slices.SortFunc(weights.GetWeights(), func(a, b *wire.Weight) int { return cmp.Compare(a.GetHandle(), b.GetHandle()) })
 	if len(weights.GetWeights()) > 0 {
@@ -364,25 +368,25 @@
 	return out
 }
 
-// weigh returns the weight to propose for a target, if any. A fall to 0 is never
-// delayed, because the target can bear nothing.
-func (n *nodeState) weigh(now time.Time, t *wire.Target) (*wire.Weight, bool) {
+// weightToPropose returns the weight to propose for a target, if any. A drop to 0 is never
+// delayed, because the target cannot take any work.
+func (n *nodeState) weightToPropose(now time.Time, t *wire.Target) (*wire.Weight, bool) {
 	if n.load == nil {
 		return nil, false
 	}
 	is, want := t.GetWeight(), min(n.load.GetWeight(), maxWeight)
-	if is == want || (want > 0 && now.Sub(n.weighed) < weightPeriod) {
+	if is == want || (want > 0 && now.Sub(n.lastWeightAt) < weightPeriod) {
 		return nil, false
 	}
 	if is > 0 && want > 0 && math.Abs(float64(want)-float64(is)) <= weightChange*float64(is) {
 		return nil, false
 	}
-	n.weighed = now
+	n.lastWeightAt = now
 	return &wire.Weight{Handle: t.GetHandle(), Weight: want}, true
 }
 
-// nodes returns the nodes as the leader sees them, those with a revision in
-// force left out when below is not 0.
+// nodes returns the leader's view of all nodes, or, if below is not 0, of those whose
+// revision is lower.
 func (c *Control) nodes(below uint64) []*wire.Node {
 	now := c.timers.Now()
 	c.leases.mu.Lock()
--- a/internal/control/lease_test.go
+++ b/internal/control/lease_test.go
@@ -120,7 +120,7 @@
 }
 
 // Guards against a leader that was stopped for longer than a lease, still leads,
-// and removes every node because it heard none of them meanwhile.
+// and removes every node because none was in contact meanwhile.
 func TestStoppedLeaderKeepsNodes(t *testing.T) {
 	c := qt.New(t)
 	x := newClock(c, 1)
--- a/internal/control/operator.go
+++ b/internal/control/operator.go
@@ -17,12 +17,12 @@
 	"mangokeel/internal/wire"
 )
 
-// waitPause separates the questions to the leader while nodes lag.
-const waitPause = 100 * time.Millisecond
+// lagCheckInterval is the interval between checks for lagging nodes.
+const lagCheckInterval = 100 * time.Millisecond
 
-// author returns who a key belongs to. It is false when the key does not open
-// the team's subtree. An empty team is opened by the operators' keys only.
-func (c *Control) author(key, team string) (string, bool) {
+// authenticate returns the owner of a key, and false if the key gives no access to the
+// team's subtree. Without a team, only the operators' key gives access.
+func (c *Control) authenticate(key, team string) (string, bool) {
 	if key == "" {
 		return "", false
 	}
@@ -36,14 +36,14 @@
 	return c.machine.Author(team, h[:])
 }
 
-// admit checks freshness and the key before a call of an operator. It returns
-// the author, or a code and a reason for the refusal.
-func (c *Control) admit(key, team string) (author string, code wire.Code, reason string) {
-	if !c.current() {
+// authorize checks that the state is current and that the key gives access. It returns the
+// key's owner, or the code and reason of the rejection.
+func (c *Control) authorize(key, team string) (author string, code wire.Code, reason string) {
+	if !c.isCurrent() {
 		c.metrics.stale.Inc()
 		return "", wire.Code_CODE_STALE, "no majority confirmed this instance's state within 2 s"
 	}
-	author, ok := c.author(key, team)
+	author, ok := c.authenticate(key, team)
 	if !ok {
 		c.metrics.denied.Inc()
 		return "", wire.Code_CODE_DENIED, "the key does not open this subtree"
@@ -52,19 +52,19 @@
 }
 
 func (c *Control) get(_ context.Context, req *wire.GetRequest) (*wire.GetReply, error) {
-	_, operator := c.author(req.GetKey(), "")
+	_, operator := c.authenticate(req.GetKey(), "")
 	if !operator || !req.GetStale() {
-		if _, code, reason := c.admit(req.GetKey(), roster.TeamOf(req.GetPath())); reason != "" {
+		if _, code, reason := c.authorize(req.GetKey(), roster.TeamOf(req.GetPath())); reason != "" {
 			return &wire.GetReply{Code: code, Reason: reason}, nil
 		}
 	}
 	items, r := c.machine.Get(req.GetPath())
-	return &wire.GetReply{Code: wire.Code_CODE_ACCEPTED, Revision: r, Items: items, AgeMs: c.age()}, nil
+	return &wire.GetReply{Code: wire.Code_CODE_ACCEPTED, Revision: r, Items: items, AgeMs: c.ageMs()}, nil
 }
 
 func (c *Control) set(ctx context.Context, req *wire.SetRequest) (*wire.SetReply, error) {
 	x := req.GetChange()
-	author, code, reason := c.admit(req.GetKey(), x.GetTeam())
+	author, code, reason := c.authorize(req.GetKey(), x.GetTeam())
 	if reason != "" {
 		return &wire.SetReply{Outcome: &wire.Outcome{Code: code, Reason: reason}}, nil
 	}
@@ -78,7 +78,7 @@
 }
 
 func (c *Control) key(ctx context.Context, req *wire.KeyRequest) (*wire.SetReply, error) {
-	if _, code, reason := c.admit(req.GetKey(), ""); reason != "" {
+	if _, code, reason := c.authorize(req.GetKey(), ""); reason != "" {
 		return &wire.SetReply{Outcome: &wire.Outcome{Code: code, Reason: reason}}, nil
 	}
 	result, err := c.propose(ctx, &wire.Command{Body: &wire.Command_Key{Key: req.GetChange()}})
@@ -89,7 +89,7 @@
 }
 
 func (c *Control) history(_ context.Context, req *wire.HistoryRequest) (*wire.HistoryReply, error) {
-	if _, code, reason := c.admit(req.GetKey(), req.GetTeam()); reason != "" {
+	if _, code, reason := c.authorize(req.GetKey(), req.GetTeam()); reason != "" {
 		return &wire.HistoryReply{Code: code, Reason: reason}, nil
 	}
 	entries, r, whole := c.machine.History(req.GetTeam(), req.GetAfter())
@@ -100,7 +100,7 @@
 	return resp, nil
 }
 
-// watch is history that waits for the first change.
+// watch returns the history of a team once it has an entry after the given revision.
 func (c *Control) watch(ctx context.Context, req *wire.HistoryRequest) (*wire.HistoryReply, error) {
 	ctx, cancel := context.WithCancel(ctx)
 	defer cancel()
@@ -120,7 +120,7 @@
 	}
 }
 
-// diff compares two revisions of a team's subtree by its history.
+// diff returns the edits between two revisions of a team's subtree.
 func (c *Control) diff(ctx context.Context, req *wire.HistoryRequest) (*wire.DiffReply, error) {
 	h, err := c.history(ctx, req)
 	if err != nil || h.GetCode() != wire.Code_CODE_ACCEPTED {
@@ -132,21 +132,21 @@
 	return &wire.DiffReply{Code: wire.Code_CODE_ACCEPTED, Edits: roster.Diff(h.GetEntries(), req.GetUntil())}, nil
 }
 
-// leaderNodes asks the leader for its nodes.
+// leaderNodes returns the leader's view of the nodes.
 func (c *Control) leaderNodes(ctx context.Context, below uint64) ([]*wire.Node, error) {
 	st := c.log.Status()
 	if st.Leading {
 		return c.nodes(below), nil
 	}
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
-	resp, err := c.ask(ctx, st, &wire.ForwardRequest{Nodes: true, Below: below})
+	resp, err := c.callLeader(ctx, st, &wire.ForwardRequest{Nodes: true, Below: below})
 	return resp.GetNodes(), err
 }
 
-// status answers also while this instance is not current, with the nodes left out.
+// status replies even if this instance is not current, then without the nodes.
 func (c *Control) status(ctx context.Context, req *wire.StatusRequest) (*wire.StatusReply, error) {
-	if _, ok := c.author(req.GetKey(), ""); !ok {
+	if _, ok := c.authenticate(req.GetKey(), ""); !ok {
 		return &wire.StatusReply{Code: wire.Code_CODE_DENIED, Reason: "status needs an operators' key"}, nil
 	}
 	st := c.log.Status()
@@ -166,9 +166,9 @@
 	return resp, nil
 }
 
-// wait answers once a revision is in force on all nodes, or with those that lag.
+// wait replies once a revision is in force on all nodes, or lists those that lag.
 func (c *Control) wait(ctx context.Context, req *wire.WaitRequest) (*wire.WaitReply, error) {
-	if _, code, reason := c.admit(req.GetKey(), ""); reason != "" {
+	if _, code, reason := c.authorize(req.GetKey(), ""); reason != "" {
 		return &wire.WaitReply{Code: code, Reason: reason}, nil
 	}
 	ctx, cancel := context.WithCancel(ctx)
@@ -176,7 +176,7 @@
 	timer := c.timers.After(min(time.Duration(req.GetWaitMs())*time.Millisecond, maxWatch), func(time.Time) { cancel() })
 	defer timer.Cancel()
 	resp := &wire.WaitReply{Code: wire.Code_CODE_STALE, Reason: "the revision was not reached here"}
-	for c.reach(ctx, mangokeel.Revision(req.GetRevision())) == nil {
+	for c.awaitRevision(ctx, mangokeel.Revision(req.GetRevision())) == nil {
 		nodes, err := c.leaderNodes(ctx, req.GetRevision())
 		switch {
 		case err != nil:
@@ -186,16 +186,16 @@
 		default:
 			resp = &wire.WaitReply{Code: wire.Code_CODE_ACCEPTED, Revision: req.GetRevision(), Lagging: nodes}
 		}
-		if !c.sleep(ctx, waitPause) {
+		if !c.sleep(ctx, lagCheckInterval) {
 			break
 		}
 	}
 	return resp, nil
 }
 
-// replace is executed by the leader; other instances pass the call on.
+// replace is executed by the leader. Other instances forward the call.
 func (c *Control) replace(ctx context.Context, req *wire.ReplaceRequest) (*wire.ReplaceReply, error) {
-	if _, code, reason := c.admit(req.GetKey(), ""); reason != "" {
+	if _, code, reason := c.authorize(req.GetKey(), ""); reason != "" {
 		return &wire.ReplaceReply{Code: code, Reason: reason}, nil
 	}
 	addr, err := netip.ParseAddrPort(req.GetAddress())
@@ -218,7 +218,7 @@
 	return &wire.ReplaceReply{Code: wire.Code_CODE_ACCEPTED}, nil
 }
 
-// instances lists the control instances.
+// instances returns the control instances.
 func (c *Control) instances() []*wire.Instance {
 	if c.members == nil {
 		return nil
@@ -233,20 +233,20 @@
 }
 
 func (c *Control) dumpCall(_ context.Context, req *wire.DumpRequest) (*wire.DumpReply, error) {
-	if _, ok := c.author(req.GetKey(), ""); !ok {
+	if _, ok := c.authenticate(req.GetKey(), ""); !ok {
 		return &wire.DumpReply{Code: wire.Code_CODE_DENIED, Reason: "dump needs an operators' key"}, nil
 	}
 	b, err := json.Marshal(c.Dump())
 	return &wire.DumpReply{Code: wire.Code_CODE_ACCEPTED, Json: string(b)}, err
 }
 
-// Dump returns the state of the instance for people, without secrets.
+// Dump returns the state of the instance for the state dump, without secrets.
 func (c *Control) Dump() any {
 	return struct {
 		Status    mangokeel.LogStatus `json:"status"`
 		Instances []*wire.Instance    `json:"instances"`
 		Roster    roster.Dump         `json:"roster"`
-		// Nodes is as the leader sees them; it is of no use on other instances.
+		// Nodes is meaningful only on the leader.
 		Nodes []*wire.Node `json:"nodes"`
 	}{c.log.Status(), c.instances(), c.machine.Dump(), c.nodes(0)}
 }
--- a/internal/control/propose.go
+++ b/internal/control/propose.go
@@ -17,20 +17,20 @@
 )
 
 const (
-	// tryTimeout bounds one try of a proposal, so that a frozen leader is left.
-	tryTimeout = time.Second
-	// proposeTimeout bounds all tries together: an election and two tries.
+	// attemptTimeout bounds one attempt of a proposal, so that a frozen leader is abandoned.
+	attemptTimeout = time.Second
+	// proposeTimeout bounds all attempts together: an election and two attempts.
 	proposeTimeout = 5 * time.Second
-	// retryPause separates tries while there is no leader.
-	retryPause = 50 * time.Millisecond
+	// retryInterval is the interval between attempts while there is no leader.
+	retryInterval = 50 * time.Millisecond
 	// seedLen is the length of a command's seed in bytes.
 	seedLen = 32
 )
 
-// propose gets a command accepted through the leader and waits until it is
-// applied here. It tries again after any failure, because every command is safe
-// to resend: changes and keys by their ids, joins by their incarnations, rehomes
-// by their epochs, and the others because handles are never reused.
+// propose commits a command through the leader and waits until this instance has applied
+// it. It retries after any failure, because every command is idempotent: changes and keys
+// by their IDs, joins by their incarnations, changes of homes by their epochs, and the
+// others because handles are never reused.
 func (c *Control) propose(ctx context.Context, cmd *wire.Command) (*wire.Result, error) {
 	cmd.Seed = make([]byte, seedLen)
 	// Read of crypto/rand never fails.
@@ -42,42 +42,42 @@
 	ctx, cancel := context.WithTimeout(ctx, proposeTimeout)
 	defer cancel()
 	for {
-		raw, r, err := c.try(ctx, b)
+		raw, r, err := c.proposeOnce(ctx, b)
 		if err == nil {
-			return c.result(ctx, raw, r)
+			return c.awaitResult(ctx, raw, r)
 		}
 		c.metrics.retries.Inc()
-		if !c.sleep(ctx, retryPause) {
+		if !c.sleep(ctx, retryInterval) {
 			return nil, errors.Wrap(err, "proposal")
 		}
 	}
 }
 
-func (c *Control) result(ctx context.Context, raw []byte, r mangokeel.Revision) (*wire.Result, error) {
+func (c *Control) awaitResult(ctx context.Context, raw []byte, r mangokeel.Revision) (*wire.Result, error) {
 	var result wire.Result
 	if err := proto.Unmarshal(raw, &result); err != nil {
 		return nil, errors.Wrap(err, "decode result")
 	}
-	return &result, c.reach(ctx, r)
+	return &result, c.awaitRevision(ctx, r)
 }
 
-// try proposes once, here or at the leader.
-func (c *Control) try(ctx context.Context, b []byte) ([]byte, mangokeel.Revision, error) {
-	ctx, cancel := context.WithTimeout(ctx, tryTimeout)
+// proposeOnce makes one attempt, on this instance or at the leader.
+func (c *Control) proposeOnce(ctx context.Context, b []byte) ([]byte, mangokeel.Revision, error) {
+	ctx, cancel := context.WithTimeout(ctx, attemptTimeout)
 	defer cancel()
 	st := c.log.Status()
 	if st.Leading {
 		return c.log.Propose(ctx, b)
 	}
-	resp, err := c.ask(ctx, st, &wire.ForwardRequest{Command: b})
+	resp, err := c.callLeader(ctx, st, &wire.ForwardRequest{Command: b})
 	if err != nil {
 		return nil, 0, err
 	}
 	return resp.GetResult(), mangokeel.Revision(resp.GetRevision()), nil
 }
 
-// ask forwards a request to the leader.
-func (c *Control) ask(ctx context.Context, st mangokeel.LogStatus, req *wire.ForwardRequest) (*wire.ForwardReply, error) {
+// callLeader sends a request to the leader.
+func (c *Control) callLeader(ctx context.Context, st mangokeel.LogStatus, req *wire.ForwardRequest) (*wire.ForwardReply, error) {
 	if !st.Leader.IsValid() || st.Leader == c.cfg.Address {
 		return nil, mangokeel.ErrNotLeader
 	}
@@ -93,8 +93,8 @@
 	return &resp, nil
 }
 
-// seal returns the seal of a request. Without it, anyone who reaches a control
-// instance could propose commands and so evade the teams' keys.
+// seal returns the message authentication code of a request. Without it, anyone who reaches
+// a control instance could propose commands and bypass the teams' keys.
 func (c *Control) seal(req *wire.ForwardRequest) []byte {
 	key, err := hex.DecodeString(c.cfg.Operator)
 	if err != nil || len(key) == 0 {
@@ -111,7 +111,7 @@
 	return h.Sum(nil)
 }
 
-// forward answers other instances. Only a leader does what is asked.
+// forward handles a request of another instance. Only a leader executes it.
 func (c *Control) forward(ctx context.Context, req *wire.ForwardRequest) (*wire.ForwardReply, error) {
 	if !hmac.Equal(req.GetSeal(), c.seal(req)) {
 		c.metrics.denied.Inc()
@@ -122,7 +122,7 @@
 	}
 	resp := &wire.ForwardReply{Leader: true}
 	if req.GetReport() {
-		c.leases.hear(c.timers.Now(), req.GetFrom(), req.GetBeats())
+		c.leases.recordContacts(c.timers.Now(), req.GetFrom(), req.GetBeats())
 	}
 	if req.GetNodes() {
 		resp.Nodes = c.nodes(req.GetBelow())
@@ -139,18 +139,18 @@
 }
 
 const (
-	// gather is how long the queue collects commands for one batch.
-	gather = 20 * time.Millisecond
-	// maxBatch bounds the commands of one batch, and so its time to apply.
+	// batchDelay is how long the queue collects commands before it proposes a batch.
+	batchDelay = 20 * time.Millisecond
+	// maxBatch is the maximum number of commands in a batch, which bounds the time to apply it.
 	maxBatch = 512
 )
 
-// queue collects the commands of nodes into batches, one at a time, so that many
-// nodes that come and go at once cost few log entries.
+// queue combines the commands of nodes into batches, one at a time, so that many nodes that
+// join or leave at once need few log entries.
 type queue struct {
 	c  *Control
 	mu sync.Mutex
-	// waiting are the commands of the next batches.
+	// waiting has the commands of the next batches.
 	waiting []*queued
 	wake    chan struct{}
 }
@@ -179,8 +179,8 @@
 	return q
 }
 
-// do gets one command accepted as part of a batch.
-func (q *queue) do(ctx context.Context, cmd *wire.Command) (*wire.Result, error) {
+// submit commits a command as part of a batch.
+func (q *queue) submit(ctx context.Context, cmd *wire.Command) (*wire.Result, error) {
 	x := &queued{cmd: cmd, done: make(chan struct{})}
 	q.mu.Lock()
 	q.waiting = append(q.waiting, x)
@@ -203,7 +203,7 @@
 
 // flush proposes one batch.
 func (q *queue) flush() {
-	if !q.c.sleep(q.c.ctx, gather) {
+	if !q.c.sleep(q.c.ctx, batchDelay) {
 		return
 	}
 	q.mu.Lock()
