--- a/internal/view/follower.go
+++ b/internal/view/follower.go
@@ -14,19 +14,19 @@
 	"mangokeel/internal/wire"
 )
 
-// Timing of the exchange with control.
+// Timing of polls.
 const (
-	// pollWait bounds one long poll, and so the age of the lease.
-	pollWait = time.Second
-	// callTimeout bounds a call; a frozen instance is left after it.
+	// pollHoldTime is how long control may hold a poll open. Each poll renews the lease.
+	pollHoldTime = time.Second
+	// callTimeout bounds a call, so that a frozen instance is abandoned.
 	callTimeout = 2 * time.Second
-	// retryPause separates tries after a failed one.
-	retryPause = 100 * time.Millisecond
-	// MaxAge is the oldest confirmation by a majority that a node accepts.
+	// retryInterval is the wait after a failed attempt.
+	retryInterval = 100 * time.Millisecond
+	// MaxAge is the maximum age of a majority's confirmation that a node accepts.
 	MaxAge = 2 * time.Second
 )
 
-// Report is what a node tells control with each poll.
+// Report is sent to control with each poll.
 type Report struct {
 	Load    *wire.Load
 	Release *wire.Release
@@ -35,83 +35,82 @@
 	Ready uint64
 }
 
-// Follower keeps a View up to date from a list of control instances. It joins
-// the roster, renews the lease with each long poll, and moves to the next
-// instance when one fails or serves state that no majority confirmed recently.
+// Follower keeps a View current by polling control. It joins the roster, renews the lease
+// with each long poll, and switches to the next instance if one fails or its state has not
+// been confirmed by a majority recently.
 type Follower struct {
-	view    *View
-	remote  mangokeel.Remote
-	join    *wire.JoinRequest
-	control []netip.AddrPort
-	report  func() Report
-	changed func(*State)
-	joined  func(id uint32)
-	// confirmed is told the time before each poll that was answered.
-	confirmed func(at time.Time)
+	view     *View
+	remote   mangokeel.Remote
+	join     *wire.JoinRequest
+	control  []netip.AddrPort
+	report   func() Report
+	onChange func(*State)
+	onJoin   func(id uint32)
+	// onConfirm receives the time at which each successful poll was sent.
+	onConfirm func(at time.Time)
 
 	// id is 0 until the node has joined.
 	id atomic.Uint32
-	// entered is the revision of the join.
-	entered uint64
-	polls   atomic.Uint64
-	moves   atomic.Uint64
-	at      int
-	cancel  context.CancelFunc
-	done    chan struct{}
-	current atomic.Pointer[netip.AddrPort]
+	// joinRevision is the revision of the join.
+	joinRevision uint64
+	polls        atomic.Uint64
+	switches     atomic.Uint64
+	controlIndex int
+	cancel       context.CancelFunc
+	done         chan struct{}
+	current      atomic.Pointer[netip.AddrPort]
 }
 
-// FollowerOption changes a Follower.
+// FollowerOption configures a Follower.
 type FollowerOption func(*Follower)
 
-// WithReport sets the function that is asked for a report before each poll.
+// WithReport sets the function that provides the report of each poll.
 func WithReport(fn func() Report) FollowerOption {
 	return func(f *Follower) { f.report = fn }
 }
 
-// WithChanged sets a function that is called after each applied update, from one
+// WithChanged sets a function that is called after each applied update, always from the same
 // goroutine.
 func WithChanged(fn func(*State)) FollowerOption {
-	return func(f *Follower) { f.changed = fn }
+	return func(f *Follower) { f.onChange = fn }
 }
 
-// WithJoined sets a function that is called with each id the node gets. A node
-// whose lease ended joins again under a new id.
+// WithJoined sets a function that is called with each ID that the node is assigned. A node
+// whose lease has expired joins again under a new ID.
 func WithJoined(fn func(id uint32)) FollowerOption {
-	return func(f *Follower) { f.joined = fn }
+	return func(f *Follower) { f.onJoin = fn }
 }
 
-// WithConfirmed sets a function that is called after each poll that control
-// answered, from one goroutine. at is the time before the poll: the view has
-// everything that a majority had accepted MaxAge before it.
+// WithConfirmed sets a function that is called after each successful poll, always from the
+// same goroutine. at is the time at which the poll was sent: the view includes everything that
+// a majority had accepted MaxAge before it.
 func WithConfirmed(fn func(at time.Time)) FollowerOption {
-	return func(f *Follower) { f.confirmed = fn }
+	return func(f *Follower) { f.onConfirm = fn }
 }
 
-// NewFollower starts to follow control for v. The incarnation of join is set
-// here. Close ends it.
+// NewFollower starts polling control for v. It sets the incarnation of join. Close stops it.
 func NewFollower(v *View, remote mangokeel.Remote, control []netip.AddrPort, join *wire.JoinRequest, opts ...FollowerOption) *Follower {
 	ctx, cancel := context.WithCancel(context.Background())
 	f := &Follower{
-		view:    v,
-		remote:  remote,
-		join:    join,
-		control: control,
-		report:  func() Report { return Report{} },
-		changed: func(*State) {},
-		joined:  func(uint32) {},
+		view:     v,
+		remote:   remote,
+		join:     join,
+		control:  control,
+		report:   func() Report { return Report{} },
+		onChange: func(*State) {},
+		onJoin:   func(uint32) {},
 
-		confirmed: func(time.Time) {},
+		onConfirm: func(time.Time) {},
 
 		cancel: cancel,
-		// Nodes start at different instances, so that each serves its share.
-		at:   mathrand.IntN(len(control)),
-		done: make(chan struct{}),
+		// Nodes start with random instances, so that each instance serves its share.
+		controlIndex: mathrand.IntN(len(control)),
+		done:         make(chan struct{}),
 	}
 	for _, o := range opts {
 		o(f)
 	}
-	f.renew()
+	f.newIncarnation()
 	go func() {
 		defer close(f.done)
 		f.run(ctx)
@@ -119,10 +118,10 @@
 	return f
 }
 
-// ID returns the handle or balancer id, or 0 before the node has joined.
+// ID returns the handle or balancer ID, or 0 if the node has not joined.
 func (f *Follower) ID() uint32 { return f.id.Load() }
 
-// Control returns the instance that is asked at present.
+// Control returns the instance that the node currently polls.
 func (f *Follower) Control() netip.AddrPort {
 	if a := f.current.Load(); a != nil {
 		return *a
@@ -130,11 +129,10 @@
 	return netip.AddrPort{}
 }
 
-// Counts returns the number of polls and of moves to another instance.
-func (f *Follower) Counts() (polls, moves uint64) { return f.polls.Load(), f.moves.Load() }
+// Counts returns the numbers of polls and of switches to another instance.
+func (f *Follower) Counts() (polls, moves uint64) { return f.polls.Load(), f.switches.Load() }
 
-// Close stops following. The node stays in the roster until Leave or the end of
-// its lease.
+// Close stops polling. The node stays in the roster until Leave or until its lease expires.
 func (f *Follower) Close() {
 	f.cancel()
 	<-f.done
@@ -162,8 +160,8 @@
 	return last
 }
 
-// renew gives the node a new incarnation.
-func (f *Follower) renew() {
+// newIncarnation assigns the node a new incarnation.
+func (f *Follower) newIncarnation() {
 	f.join.Incarnation = make([]byte, 16)
 	// Read of crypto/rand never fails.
 	_, _ = rand.Read(f.join.Incarnation)
@@ -171,32 +169,32 @@
 
 func (f *Follower) run(ctx context.Context) {
 	for ctx.Err() == nil {
-		if f.step(ctx) {
+		if f.joinOrPoll(ctx) {
 			continue
 		}
-		f.at = (f.at + 1) % len(f.control)
-		f.moves.Add(1)
+		f.controlIndex = (f.controlIndex + 1) % len(f.control)
+		f.switches.Add(1)
 		select {
 		case <-ctx.Done():
-		case <-time.After(retryPause):
+		case <-time.After(retryInterval):
 		}
 	}
 }
 
-// step joins or polls once. It returns false when another instance should be
-// asked next.
-func (f *Follower) step(ctx context.Context) bool {
-	addr := f.control[f.at]
+// joinOrPoll joins or polls once. It returns false if the next attempt should use another
+// instance.
+func (f *Follower) joinOrPoll(ctx context.Context) bool {
+	addr := f.control[f.controlIndex]
 	f.current.Store(&addr)
 	ctx, cancel := context.WithTimeout(ctx, callTimeout)
 	defer cancel()
 	if f.ID() == 0 {
-		return f.enter(ctx, addr)
+		return f.joinRoster(ctx, addr)
 	}
 	return f.poll(ctx, addr)
 }
 
-func (f *Follower) enter(ctx context.Context, addr netip.AddrPort) bool {
+func (f *Follower) joinRoster(ctx context.Context, addr netip.AddrPort) bool {
 	var resp wire.JoinReply
 	if err := f.remote.Call(ctx, addr, "join", f.join, &resp); err != nil {
 		return false
@@ -204,9 +202,9 @@
 	if resp.GetCode() != wire.Code_CODE_ACCEPTED {
 		return false
 	}
-	f.entered = resp.GetRevision()
+	f.joinRevision = resp.GetRevision()
 	f.id.Store(resp.GetId())
-	f.joined(resp.GetId())
+	f.onJoin(resp.GetId())
 	return true
 }
 
@@ -219,8 +217,8 @@
 		Revision:    uint64(f.view.State().Revision),
 		Load:        r.Load,
 		Release:     r.Release,
-		WaitMs:      uint32(pollWait.Milliseconds()),
-		Joined:      f.entered,
+		WaitMs:      uint32(pollHoldTime.Milliseconds()),
+		Joined:      f.joinRevision,
 		Ready:       r.Ready,
 	}
 	var resp wire.SyncReply
@@ -232,7 +230,7 @@
 	switch {
 	case resp.GetCode() == wire.Code_CODE_UNKNOWN:
 		f.id.Store(0)
-		f.renew()
+		f.newIncarnation()
 		return true
 	case resp.GetCode() != wire.Code_CODE_ACCEPTED:
 		return false
@@ -242,12 +240,11 @@
 	if !f.apply(&resp) {
 		return false
 	}
-	f.confirmed(at)
+	f.onConfirm(at)
 	return true
 }
 
-// apply moves the view to the reply's update. It returns false when the update
-// cannot be used.
+// apply applies the reply's update to the view. It returns false if the update is unusable.
 func (f *Follower) apply(resp *wire.SyncReply) bool {
 	u, err := wire.UnpackUpdate(resp)
 	if err != nil {
@@ -258,7 +255,7 @@
 	}
 	switch f.view.Apply(u) {
 	case Applied:
-		f.changed(f.view.State())
+		f.onChange(f.view.State())
 	case Older:
 		return false
 	case Unchanged:
--- a/internal/view/view.go
+++ b/internal/view/view.go
@@ -1,14 +1,13 @@
-// Package view is what a node knows of the settings and the roster.
+// Package view holds a node's copy of the settings and the roster.
 //
-// A node keeps one View and feeds it the updates it gets from control with Apply.
-// Every reader sees either the state before an update or after it:
+// A node has one View, to which it applies the updates that it receives from control.
+// Every reader sees either the state before an update or the state after it:
 //
 //	var v view.View
 //	outcome := v.Apply(update)
 //	s := v.State().Service(id)
 //
-// A View never goes back to an older revision, whichever control instance the
-// update comes from.
+// A View never returns to an older revision, whichever control instance sends an update.
 package view
 
 import (
@@ -25,16 +24,16 @@
 	"mangokeel/internal/wire"
 )
 
-// Outcome says what Apply did.
+// Outcome is the result of Apply.
 type Outcome int
 
 // Outcomes of Apply.
 const (
-	// Applied means that the revision rose.
+	// Applied means that the revision has increased.
 	Applied Outcome = iota
-	// Unchanged means that the update was for the present revision.
+	// Unchanged means that the update was for the current revision.
 	Unchanged
-	// Older means that the update was refused because its revision is lower.
+	// Older means that the update was ignored because its revision is lower.
 	Older
 )
 
@@ -49,47 +48,47 @@
 	state atomic.Pointer[State]
 }
 
-// State is one revision of a view. It is never changed after it was published.
+// State is one revision of a view. It is immutable once published.
 type State struct {
-	// Revision never falls from one state of a view to the next.
+	// Revision never decreases from one state of a view to the next.
 	Revision mangokeel.Revision
-	// NextHandle is above every handle given out up to Revision.
+	// NextHandle is greater than every handle assigned up to Revision.
 	NextHandle mangokeel.Handle
 	services   map[mangokeel.ServiceID]*Service
 	balancers  map[uint32]*wire.Balancer
 }
 
-// Service is one service with its table.
+// Service is a service with its bucket table and targets.
 type Service struct {
 	*wire.Service
 	ID    mangokeel.ServiceID
 	Epoch mangokeel.Epoch
-	// Address is where callers reach the service.
+	// Address is the address at which callers reach the service.
 	Address netip.AddrPort
-	// Table has the owners at Epoch.
+	// Table has the owners of all buckets at Epoch.
 	Table bucket.Table
-	// Keys reads the service's connection IDs. It is never nil.
+	// Keys decodes the service's connection IDs. It is never nil.
 	Keys *cid.Keys
-	// Targets has all targets of the service by handle, those in availability
-	// zones that are out included.
+	// Targets has all targets of the service by handle, including those in availability
+	// zones out of service.
 	Targets map[mangokeel.Handle]*Target
-	// records are the targets as control sent them.
+	// records has the targets as received from control.
 	records map[mangokeel.Handle]*wire.Target
 	holders holders
 }
 
-// Target is one target with its parsed addresses.
+// Target is a target with its parsed address.
 type Target struct {
 	*wire.Target
 	Handle mangokeel.Handle
 	// Agent is the address of the agent's data socket, UDP and TCP.
 	Agent netip.AddrPort
-	// Open is false when the target's availability zone is out of service.
+	// Open is false while the target's availability zone is out of service.
 	Open bool
 	Held bucket.Bitmap
 }
 
-// State returns the present state. It is never nil.
+// State returns the current state. It is never nil.
 func (v *View) State() *State {
 	if s := v.state.Load(); s != nil {
 		return s
@@ -97,8 +96,8 @@
 	return &State{}
 }
 
-// Apply moves the view to the update's revision. Updates for lower revisions
-// change nothing.
+// Apply advances the view to the update's revision. Updates for lower revisions are
+// ignored.
 func (v *View) Apply(u *wire.Update) Outcome {
 	v.mu.Lock()
 	defer v.mu.Unlock()
@@ -114,8 +113,7 @@
 	return Applied
 }
 
-// next returns the state that u leads to. Services that u does not touch are
-// shared with s.
+// next returns the state after u. Services that u does not change are shared with s.
 func (s *State) next(u *wire.Update) *State {
 	n := &State{
 		Revision:   mangokeel.Revision(u.GetRevision()),
@@ -128,32 +126,32 @@
 		maps.Copy(n.balancers, s.balancers)
 	}
 	for _, b := range u.GetBalancers() {
-		put(n.balancers, b.GetId(), b, b.GetGone())
+		setOrDelete(n.balancers, b.GetId(), b, b.GetGone())
 	}
-	for id, d := range drafts(n.services, u) {
+	for id, d := range updatedServices(n.services, u) {
 		if d.record == nil || d.record.GetGone() {
 			delete(n.services, id)
 			continue
 		}
-		n.services[id] = compile(d.record, d.targets)
+		n.services[id] = newService(d.record, d.targets)
 	}
 	return n
 }
 
-// draft is a service whose records change.
-type draft struct {
+// serviceRecords has the records of a service that an update changes.
+type serviceRecords struct {
 	record  *wire.Service
 	targets map[mangokeel.Handle]*wire.Target
 }
 
-// drafts returns the services that u touches with their records after it.
-func drafts(services map[mangokeel.ServiceID]*Service, u *wire.Update) map[mangokeel.ServiceID]*draft {
-	all := map[mangokeel.ServiceID]*draft{}
-	of := func(id uint32) *draft {
+// updatedServices returns the services that u changes, with their records after it.
+func updatedServices(services map[mangokeel.ServiceID]*Service, u *wire.Update) map[mangokeel.ServiceID]*serviceRecords {
+	all := map[mangokeel.ServiceID]*serviceRecords{}
+	of := func(id uint32) *serviceRecords {
 		sid := mangokeel.ServiceID(id)
 		d := all[sid]
 		if d == nil {
-			d = &draft{targets: map[mangokeel.Handle]*wire.Target{}}
+			d = &serviceRecords{targets: map[mangokeel.Handle]*wire.Target{}}
 			if old := services[sid]; old != nil {
 				d.record = old.Service
 				maps.Copy(d.targets, old.records)
@@ -166,12 +164,12 @@
 		of(x.GetId()).record = x
 	}
 	for _, t := range u.GetTargets() {
-		put(of(t.GetService()).targets, mangokeel.Handle(t.GetHandle()), t, t.GetGone())
+		setOrDelete(of(t.GetService()).targets, mangokeel.Handle(t.GetHandle()), t, t.GetGone())
 	}
 	return all
 }
 
-func put[K comparable, V any](m map[K]V, k K, v V, gone bool) {
+func setOrDelete[K comparable, V any](m map[K]V, k K, v V, gone bool) {
 	if gone {
 		delete(m, k)
 		return
@@ -179,20 +177,20 @@
 	m[k] = v
 }
 
-// compile returns the service with its table, targets and keys.
-func compile(x *wire.Service, targets map[mangokeel.Handle]*wire.Target) *Service {
+// newService returns a service with its bucket table, targets and keys.
+func newService(x *wire.Service, targets map[mangokeel.Handle]*wire.Target) *Service {
 	svc := &Service{
 		Service: x,
 		ID:      mangokeel.ServiceID(x.GetId()),
 		Epoch:   mangokeel.Epoch(x.GetEpoch()),
-		Keys:    keysOf(x),
+		Keys:    newKeys(x),
 		Targets: map[mangokeel.Handle]*Target{},
 		records: targets,
 	}
 	svc.Address, _ = netip.ParseAddrPort(x.GetAddress())
 	var holding []*Target
 	for h, t := range targets {
-		if n := svc.add(h, t); n != nil && n.Open && !n.Held.Empty() {
+		if n := svc.addTarget(h, t); n != nil && n.Open && !n.Held.Empty() {
 			holding = append(holding, n)
 		}
 	}
@@ -202,8 +200,8 @@
 	return svc
 }
 
-// add returns the parsed target, or nil when its address is malformed.
-func (s *Service) add(h mangokeel.Handle, t *wire.Target) *Target {
+// addTarget adds a target and returns it, or nil if its address is malformed.
+func (s *Service) addTarget(h mangokeel.Handle, t *wire.Target) *Target {
 	agent, err := netip.ParseAddrPort(t.GetAgent())
 	if err != nil {
 		return nil
@@ -213,21 +211,21 @@
 		Handle: h,
 		Agent:  agent,
 		Open:   slices.Contains(s.GetZones(), t.GetZone()),
-		Held:   heldOf(t),
+		Held:   heldBuckets(t),
 	}
 	s.Targets[h] = n
 	return n
 }
 
-// heldOf returns the buckets in which t may hold flows.
-func heldOf(t *wire.Target) bucket.Bitmap {
+// heldBuckets returns the buckets of which t may hold flows.
+func heldBuckets(t *wire.Target) bucket.Bitmap {
 	if len(t.GetPacked()) > 0 {
 		return bucket.Unpack(t.GetPacked())
 	}
 	return t.GetHeld()
 }
 
-func keysOf(x *wire.Service) *cid.Keys {
+func newKeys(x *wire.Service) *cid.Keys {
 	secrets := make([]cid.Secret, 0, len(x.GetSecrets()))
 	for _, k := range x.GetSecrets() {
 		secrets = append(secrets, cid.Secret{Number: uint8(k.GetNumber()), Key: k.GetKey()})
@@ -239,8 +237,9 @@
 	return keys
 }
 
-// Members returns the eligible targets of a service in the order that
-// bucket.New wants: serving, in an availability zone in service, with weight.
+// Members returns the eligible targets of a service in ascending order of their handles, as
+// bucket.New requires: those that serve, have a weight and are in an availability zone in
+// service.
 func Members(x *wire.Service, targets map[mangokeel.Handle]*wire.Target) []bucket.Member {
 	var m []bucket.Member
 	for h, t := range targets {
@@ -255,7 +254,7 @@
 	return m
 }
 
-// Service returns the service or nil.
+// Service returns a service, or nil if it does not exist.
 func (s *State) Service(id mangokeel.ServiceID) *Service { return s.services[id] }
 
 // Services calls yield for each service in no particular order.
@@ -267,10 +266,10 @@
 	}
 }
 
-// Balancers returns the balancers by id. The map must not be changed.
+// Balancers returns the balancers by ID. The map must not be modified.
 func (s *State) Balancers() map[uint32]*wire.Balancer { return s.balancers }
 
-// Owner returns the owner of bucket b, or nil when no target is eligible.
+// Owner returns the owner of bucket b, or nil if no target is eligible.
 func (s *Service) Owner(b uint32) *Target {
 	h, ok := s.Table.Owner(b)
 	if !ok {
