--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -1,13 +1,13 @@
-// Package agent is the process beside each target. It announces the target to
-// control, owns the flows that reach it, and stands for the service towards
-// callers: it ends their QUIC and HTTP connections, or relays their datagrams.
+// Package agent implements the process beside each target. It announces the target to
+// control, owns the target's flows, and terminates the callers' QUIC and HTTP connections or
+// relays their datagrams.
 //
 //	a, err := agent.New(cfg, remote, target, agent.WithLogger(log))
 //	err = a.Run()  // returns after Stop, when all flows have ended
 //
-// The parts are: the data socket, which asks package flow about each packet; the
-// QUIC endpoint; the TCP listener, which takes connections that balancers relay;
-// and the departure, which ends all of it without breaking a request.
+// It consists of the data socket, which passes each packet to package flow; the QUIC endpoint;
+// the TCP listener for connections that balancers relay; and the departure, which shuts all of
+// it down without interrupting a request.
 package agent
 
 import (
@@ -77,7 +77,7 @@
 	// callOptions are those of the listener for claims.
 	callOptions []jsonrpc.Option
 	calls       *jsonrpc.Server
-	// heard is when control last confirmed the view, in Unix nanoseconds.
+	// heard is the time of control's last confirmation of the view, in Unix nanoseconds.
 	heard atomic.Int64
 
 	udp      *net.UDPConn
@@ -212,8 +212,8 @@
 	closed  bool
 }
 
-// joined is called with each handle that control gives. Callers reach the flows
-// of an earlier handle no more, so they are ended.
+// joined is called with each handle that control assigns. The flows of an earlier handle are
+// no longer reachable for callers, so they are ended.
 func (a *Agent) joined(id uint32) {
 	a.handle.Store(id)
 	a.mu.Lock()
@@ -357,7 +357,7 @@
 	}
 }
 
-// report is what control learns with each poll.
+// report returns the report that is sent to control with each poll.
 func (a *Agent) report() view.Report {
 	r := view.Report{Load: a.load(), Ready: a.ready()}
 	a.mu.Lock()
--- a/internal/agent/metrics.go
+++ b/internal/agent/metrics.go
@@ -108,7 +108,7 @@
 	return s
 }
 
-// collector gives an agent's counts to Prometheus.
+// collector exports an agent's counters to Prometheus.
 type collector struct {
 	a                         *Agent
 	actions, drops, flows     *prometheus.Desc
--- a/internal/agent/probe.go
+++ b/internal/agent/probe.go
@@ -11,11 +11,11 @@
 )
 
 const (
-	// probePeriod is the time between two tries to connect to the target.
+	// probePeriod is the interval between attempts to connect to the target.
 	probePeriod = time.Second
-	// probeTimeout bounds one try.
+	// probeTimeout bounds one attempt.
 	probeTimeout = 900 * time.Millisecond
-	// probeMisses is the number of tries in a row that time out before the target
+	// probeMisses is the number of consecutive attempts that time out before the target
 	// counts as down. A refused connection counts at once.
 	probeMisses = 2
 )
@@ -29,7 +29,7 @@
 
 func (p *probe) up() bool { return !p.down.Load() }
 
-// check tries once to connect.
+// check makes one attempt to connect.
 func (p *probe) check() {
 	c, err := net.DialTimeout("tcp", p.target.String(), probeTimeout)
 	switch {
--- a/internal/agent/reply.go
+++ b/internal/agent/reply.go
@@ -90,7 +90,7 @@
 	r.via[caller] = via{data, now}
 }
 
-// expire forgets silent callers.
+// expire removes callers that have been silent for too long.
 func (r *replies) expire(now time.Time) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/bucket/bucket.go
+++ b/internal/bucket/bucket.go
@@ -1,6 +1,6 @@
 // Package bucket maps callers to targets.
 //
-// A service has a fixed number of buckets. Index gives the bucket of a caller.
+// A service has a fixed number of buckets. Index returns the bucket of a caller.
 // New computes which target owns each bucket, the same way on every node, from
 // the handles and weights of the eligible targets:
 //
@@ -28,7 +28,7 @@
 	Weight uint32
 }
 
-// Table gives the owner of each bucket. The zero value has no buckets.
+// Table has the owner of each bucket. The zero value has no buckets.
 type Table struct {
 	// owners has an index into handles for each bucket. Indexes take half the
 	// memory of handles.
--- a/internal/caller/endpoint.go
+++ b/internal/caller/endpoint.go
@@ -1,14 +1,14 @@
 // Package caller speaks with callers: HTTP/3 over packets that balancers deliver,
 // and HTTP/1.1 over TCP connections that they relay.
 //
-// An Endpoint has no socket of its own. Its owner feeds it packets and sends what
-// it gives out:
+// An Endpoint has no socket of its own. Its owner delivers packets to it and sends those that
+// it produces:
 //
 //	e, err := caller.NewEndpoint(caller.Config{..., Send: send})
 //	e.Deliver(addr, payload)
 //
-// Both an Endpoint and Streams can be told to leave: callers then open another
-// connection for their next request, and requests that have begun go on.
+// Both an Endpoint and Streams can be set to leave: callers then open another connection for
+// their next request, and requests in progress continue.
 package caller
 
 import (
@@ -39,7 +39,7 @@
 	idleTimeout = 2 * time.Minute
 	// keepAlive keeps the path open for callers that only listen.
 	keepAlive = 20 * time.Second
-	// handshakeTimeout leaves a caller on a slow link several tries.
+	// handshakeTimeout allows several attempts on a slow link.
 	handshakeTimeout = 15 * time.Second
 	// ReapPeriod is the time between two looks for idle connections.
 	ReapPeriod = 500 * time.Millisecond
@@ -219,17 +219,17 @@
 	return e.conn.push(caller, payload)
 }
 
-// Leave sets whether callers are told to use another connection for new requests.
-// Requests that have begun go on.
+// Leave sets whether callers are asked to use another connection for new requests. Requests in
+// progress continue.
 func (e *Endpoint) Leave(leaving bool) {
 	e.mu.Lock()
 	e.leaving = leaving
 	e.mu.Unlock()
 }
 
-// Reap tells the callers of a leaving target to go, those of late connections
-// included, and closes connections without requests whose callers did not go. It
-// is called every ReapPeriod.
+// Reap asks the callers of a leaving target to use another connection, including those that
+// connected late, and closes connections without requests whose callers have not done so. It
+// must be called every ReapPeriod.
 func (e *Endpoint) Reap(now time.Time) {
 	var idle []*quic.Conn
 	e.mu.Lock()
--- a/internal/jsonrpc/jsonrpc.go
+++ b/internal/jsonrpc/jsonrpc.go
@@ -68,7 +68,7 @@
 	traffic *traffic
 }
 
-// Option changes how a Server or Client talks.
+// Option configures a Server or a Client.
 type Option func(*options)
 
 // WithTLS makes connections use TLS with cfg.
@@ -166,7 +166,7 @@
 	s.done.Wait()
 }
 
-// message gives a wire message its JSON form inside JSON-RPC.
+// message encodes a wire message as JSON within JSON-RPC.
 type message struct{ m proto.Message }
 
 // MarshalJSON implements json.Marshaler.
@@ -177,8 +177,8 @@
 
 var _ json.Unmarshaler = (*message)(nil)
 
-// Client calls other processes. It keeps one connection for each address and
-// opens it anew after it broke.
+// Client calls other processes. It keeps one connection per address and reconnects after a
+// failure.
 type Client struct {
 	opts  options
 	mu    sync.Mutex
@@ -280,8 +280,8 @@
 	}
 }
 
-// CallOrDrop calls and, when the time is over, gives up the connection: one whose peer went
-// silent would hold up later calls for as long as the system resends.
+// CallOrDrop calls a method and drops the connection if ctx expires. A connection whose peer no
+// longer responds would delay later calls for as long as the system retransmits.
 func CallOrDrop(ctx context.Context, remote mangokeel.Remote, addr netip.AddrPort, method string, req, resp proto.Message) error {
 	err := remote.Call(ctx, addr, method, req, resp)
 	if d, ok := remote.(interface{ Drop(addr netip.AddrPort) }); ok && errors.Is(err, context.DeadlineExceeded) {
--- a/internal/process/process.go
+++ b/internal/process/process.go
@@ -40,7 +40,7 @@
 
 // Exit codes of all programs.
 const (
-	// ExitOK means that the program did what was asked or was stopped by a signal.
+	// ExitOK means that the program completed its task or was stopped by a signal.
 	ExitOK = 0
 	// ExitFailure means that a part failed.
 	ExitFailure = 1
@@ -71,7 +71,7 @@
 func (p *Process) ConfigTime() time.Time {
 	info, err := os.Stat(p.config)
 	if err != nil {
-		return time.Time{} // Reload tells why
+		return time.Time{} // Reload reports the error
 	}
 	return info.ModTime()
 }
--- a/internal/target/budget.go
+++ b/internal/target/budget.go
@@ -5,11 +5,11 @@
 const (
 	// retryShare is the part of requests that may be tried a second time.
 	retryShare = 0.1
-	// retryBurst bounds the tries that are saved up.
+	// retryBurst is the maximum number of retries that can accumulate.
 	retryBurst = 10
 )
 
-// budget bounds second tries to a share of all requests.
+// budget limits retries to a share of all requests.
 type budget struct {
 	mu sync.Mutex
 	// tokens is between 0 and retryBurst.
--- a/internal/target/header.go
+++ b/internal/target/header.go
@@ -16,8 +16,8 @@
 	headerDeadline = "X-Deadline"
 	headerOutcome  = "Mangokeel-Outcome"
 	headerRetry    = "Retry-After"
-	// headerRequest carries an ID for each try. A target that returns it lets the
-	// agent recognise an answer to another request.
+	// headerRequest carries an ID for each attempt. If the target returns it, the agent can
+	// detect a response to another request.
 	headerRequest = "Mangokeel-Request"
 	// headerHop marks requests that an agent handed over.
 	headerHop = "Mangokeel-Hop"
--- a/internal/target/once.go
+++ b/internal/target/once.go
@@ -45,8 +45,8 @@
 	return h.runOnce(ctx, q, t.ID, c)
 }
 
-// claimContext leaves the caller of a claim that finds no majority half of the time
-// until its deadline to try again.
+// claimContext bounds a claim to half of the time until the request's deadline, so that the
+// caller can retry if the claim finds no majority.
 func (h *Handler) claimContext(ctx context.Context, q *request) (context.Context, context.CancelFunc) {
 	if q.deadline.IsZero() {
 		return context.WithCancel(ctx)
@@ -81,8 +81,8 @@
 	}
 }
 
-// complete makes the only try at the target and records its end. Closing the body
-// of an answer that is still under way ends the try.
+// complete makes the only attempt at the target and records its outcome. Closing the body of
+// an unfinished response ends the attempt.
 func (h *Handler) complete(ctx context.Context, q *request, id limit.ID, c *claim.Claim) try {
 	ctx, cancel := context.WithTimeout(ctx, q.end.Sub(h.timers.Now()))
 	t := h.run(ctx, q, id)
@@ -155,7 +155,7 @@
 	return a
 }
 
-// settle gives the caller what is known of another attempt with its key.
+// settle replies with the known outcome of another attempt with the same key.
 func (h *Handler) settle(w http.ResponseWriter, o *claim.Outcome) {
 	if o.Verdict == claim.Stored {
 		h.replay(w, o.Answer)
--- a/internal/target/relay.go
+++ b/internal/target/relay.go
@@ -25,15 +25,15 @@
 	headerPause = 5 * time.Millisecond
 )
 
-// errForeign marks an answer that belongs to another request.
+// errForeign marks a response that belongs to another request.
 var errForeign = errors.New("answer to another request")
 
-// errEndless marks a response whose end cannot be told from a broken connection.
+// errEndless marks a response whose end is indistinguishable from a broken connection.
 var errEndless = errors.New("answer with neither length nor chunks")
 
 type dialFunc = func(ctx context.Context, network, addr string) (net.Conn, error)
 
-// outgoing returns the request for one try at addr.
+// outgoing returns the request for one attempt at addr.
 func (q *request) outgoing(ctx context.Context, addr netip.AddrPort) (*http.Request, error) {
 	out, err := http.NewRequestWithContext(ctx, q.Method, "http://"+addr.String()+q.URL.RequestURI(), q.reader())
 	if err != nil {
@@ -48,8 +48,8 @@
 	return out, nil
 }
 
-// send makes one try at the target and returns the answer, whose header belongs
-// to this request.
+// send makes one attempt at the target and returns the response, which is known to belong to
+// this request.
 func (h *Handler) send(ctx context.Context, q *request) (*http.Response, error) {
 	out, err := q.outgoing(ctx, h.target)
 	if err != nil {
@@ -85,8 +85,7 @@
 	return nil
 }
 
-// endless reports whether the end of an answer cannot be told from a broken
-// connection.
+// endless reports whether the end of a response is indistinguishable from a broken connection.
 func endless(resp *http.Response) bool {
 	return resp.ContentLength < 0 && len(resp.TransferEncoding) == 0
 }
--- a/internal/target/request.go
+++ b/internal/target/request.go
@@ -18,7 +18,7 @@
 	// maxBody bounds the body of a request that runs at most once. It is held in
 	// memory, because its claim depends on a hash of it.
 	maxBody = 16 << 20
-	// maxReplay bounds the body of other requests that is kept for a second try.
+	// maxReplay is the maximum size of a body that is kept for a second attempt.
 	maxReplay = 64 << 10
 	// maxBuffered bounds the bodies held at one time.
 	maxBuffered = 128 << 20
@@ -160,10 +160,10 @@
 	}
 }
 
-// free gives up the request's part of the buffers.
+// free releases the request's share of the buffers.
 func (h *Handler) free(q *request) { h.buffered.Add(-int64(len(q.body))) }
 
-// reader returns the body for one try.
+// reader returns the body for one attempt.
 func (q *request) reader() io.Reader {
 	switch {
 	case q.whole && len(q.body) == 0:
--- a/internal/target/serve.go
+++ b/internal/target/serve.go
@@ -23,22 +23,22 @@
 	outcomeMismatch = "mismatch"
 )
 
-// minRetry is the least Retry-After, which is in whole seconds.
+// minRetry is the minimum Retry-After, which is in whole seconds.
 const minRetry = time.Second
 
-// try is what one attempt to serve a request came to.
+// try is the outcome of one attempt to serve a request.
 type try struct {
-	// id is the slot at the target, 0 if there was none.
+	// id is the slot at the target, or 0 if the attempt had none.
 	id limit.ID
-	// resp is an answer that has not been delivered.
+	// resp is a response that has not been delivered to the caller.
 	resp *http.Response
 	// ran is false if the request is known not to have run.
 	ran bool
-	// elsewhere is set when the target was not even asked, so that another agent
-	// costs the service nothing.
+	// elsewhere is set if the request was not offered to the target, so that handing it to
+	// another agent adds no load to the service.
 	elsewhere  bool
 	retryAfter time.Duration
-	// settled is set when another attempt with the same key decides the answer.
+	// settled is the outcome of another attempt with the same key, which takes precedence.
 	settled *claim.Outcome
 }
 
@@ -75,7 +75,7 @@
 	return context.WithDeadline(q.Context(), q.deadline)
 }
 
-// first tries the own target, unless the request belongs elsewhere.
+// first attempts the request at the agent's own target, unless it must go elsewhere.
 func (h *Handler) first(ctx context.Context, q *request, cur *current) try {
 	if h.left.Load() || cur.leaving() || h.unreachable() {
 		h.metrics.refusals.WithLabelValues("leaving").Inc()
@@ -93,7 +93,7 @@
 	return h.run(ctx, q, ticket.ID)
 }
 
-// run makes a try at the target in the slot id.
+// run makes one attempt at the target, in slot id.
 func (h *Handler) run(ctx context.Context, q *request, id limit.ID) try {
 	resp, err := h.send(ctx, q)
 	switch {
@@ -134,7 +134,7 @@
 	return false
 }
 
-// retries reports whether another agent may be asked after t.
+// retries reports whether the request may be handed to another agent after t.
 func (h *Handler) retries(q *request, t try) bool {
 	switch {
 	case t.settled != nil:
@@ -175,7 +175,7 @@
 	return false
 }
 
-// discard gives up an answer of the target that another one replaces.
+// discard closes a response that another one replaces.
 func (h *Handler) discard(t *try) {
 	if t.resp != nil {
 		t.resp.Body.Close()
@@ -195,7 +195,7 @@
 	h.copyAnswer(w, resp, func() {}, func(error) {})
 }
 
-// deliver gives the caller the outcome of a try.
+// deliver sends the outcome of an attempt to the caller.
 func (h *Handler) deliver(w http.ResponseWriter, q *request, t try) {
 	switch {
 	case t.settled != nil:
@@ -227,8 +227,8 @@
 	}
 }
 
-// refuse tells the caller at once that the request did not run, or that its
-// outcome is unknown.
+// refuse replies to the caller at once that the request did not run, or that its outcome is
+// unknown.
 func (h *Handler) refuse(w http.ResponseWriter, t try) {
 	if t.ran {
 		h.metrics.requests.WithLabelValues(outcomeUnknown).Inc()
--- a/internal/target/target.go
+++ b/internal/target/target.go
@@ -1,7 +1,7 @@
-// Package target relays requests to the target that an agent stands beside.
+// Package target relays requests to the target on the agent's host.
 //
-// A Handler is an http.Handler. The agent mounts it for HTTP/3 and for HTTP/1.1
-// and feeds it the service record of each new view:
+// A Handler is an http.Handler. The agent serves HTTP/3 and HTTP/1.1 with it and updates it
+// with the service record of each new view:
 //
 //	h, err := target.New(cfg.Target)
 //	h.Update(state.Service(id), own)
@@ -9,10 +9,10 @@
 //
 // Each request is classified by the service's rules and admitted by a
 // limit.Limiter. A request that is known not to have run, or that is idempotent,
-// is offered once to another agent; what remains is refused with the time to try
-// again. A request that is not idempotent and has a key is claimed first, so that it
-// runs at most once. An answer that ends early at the target ends with an aborted stream at
-// the caller, never as if it were complete.
+// is handed to another agent once; otherwise it is rejected with a Retry-After. A request
+// that is not idempotent and has a key is claimed first, so that it runs at most once. If the
+// target's response ends early, the caller's stream is aborted, so that the response never
+// looks complete.
 package target
 
 import (
@@ -163,9 +163,8 @@
 	}
 }
 
-// Leave makes the handler pass new requests on to other agents. It does so by
-// itself once the view says that the target leaves or that its availability zone
-// is out of service.
+// Leave makes the handler pass new requests to other agents. It also does so if the view
+// shows that the target is leaving or that its availability zone is out of service.
 func (h *Handler) Leave() { h.left.Store(true) }
 
 // SetCold treats the target as cold. The agent calls it when the target's availability
@@ -175,9 +174,9 @@
 	h.weigher.setCold()
 }
 
-// Weight is the share of work that the target can bear, 0 to FullWeight: 0 while
-// it cannot be reached, 1 while its requests fail, and otherwise its limit, or more
-// if it has been under no pressure.
+// Weight is the share of work that the target can take, from 0 to FullWeight: 0 while it is
+// unreachable, 1 while its requests fail, and otherwise derived from its limit, or more if the
+// limit has not been reached recently.
 func (h *Handler) Weight() uint32 {
 	if h.unreachable() {
 		return 0
--- a/internal/target/weight.go
+++ b/internal/target/weight.go
@@ -7,7 +7,7 @@
 	"mangokeel/internal/limit"
 )
 
-// FullWeight is the weight of a target that can bear its whole configured limit.
+// FullWeight is the weight of a target that can take its full configured limit.
 const FullWeight = 256
 
 const (
@@ -22,8 +22,8 @@
 	idleDoubling = 5 * time.Second
 )
 
-// weigher turns a limit into a weight, in steps of a factor of two, so that control
-// learns of few changes. The zero value belongs to a cold target.
+// weigher converts a limit into a weight in steps of a factor of two, so that few changes are
+// reported to control. The zero value belongs to a cold target.
 type weigher struct {
 	mu sync.Mutex
 	// floor is the weight that a target without pressure has reached.
