--- a/internal/fleet/rotation.go
+++ b/internal/fleet/rotation.go
@@ -39,9 +39,12 @@
 // It belongs to the leader: the zero value is ready for a term of leadership. It is safe for
 // concurrent use.
 type Rotation struct {
-	mu        sync.Mutex
-	term      uint64
+	mu sync.Mutex
+	// term is the term of leadership to which the other fields belong.
+	term uint64
+	// balancers has the balancers that have polled within balancerRetention, by name.
 	balancers map[string]balancerRecord
+	// standby has the zones that stand by as of updatedAt.
 	standby   map[mangokeel.AvailabilityZone]bool
 	updatedAt time.Time
 }
