packet: what bounds the search for an owner

Cause: the last read of the change: the comment gave a reason that nothing shows. Ruled out: another bound; it is the one that stood before openings got their own. Change: a comment.

--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -28,8 +28,8 @@
 	// maxPasses is how many agents may pass an opening packet on before it waits or the caller is
 	// refused.
 	maxPasses = 2
-	// maxSearchPasses is how many agents may have passed on a packet of an open flow that an agent
-	// still searches for: its directory, two owners that have lost it, and one more.
+	// maxSearchPasses is how many agents may have passed on a packet of an open flow whose owner an
+	// agent still searches for. It bounds the walk between agents with different views.
 	maxSearchPasses = 4
 	// hintInterval is the minimum time between hints about one flow: callers retransmit after
 	// 200 ms.
