comments: usual terms for informs, contact, removes and states

Cause: comments of the change since the wording of the code still said tells, heard, forgets, says and told. Ruled out: names on the wire, in logs and dumps, and fields such as heard_ms: they stay.

--- a/internal/agent/agent.go
+++ b/internal/agent/agent.go
@@ -77,7 +77,7 @@
 	// callOptions are those of the listener for claims.
 	callOptions []jsonrpc.Option
 	calls       *jsonrpc.Server
-	// heard is the time of control's last confirmation of the view, in Unix nanoseconds.
+	// heard is the time at which control last confirmed the view, in Unix nanoseconds.
 	heard atomic.Int64
 
 	udp      *net.UDPConn
--- a/internal/claim/claim.go
+++ b/internal/claim/claim.go
@@ -163,7 +163,7 @@
 	return cs
 }
 
-// Verdict tells a claimer whether to run its request or what became of another attempt
+// Verdict states whether a claimer may run its request or what became of another attempt
 // at it.
 type Verdict int
 
--- a/internal/fabric/balancer.go
+++ b/internal/fabric/balancer.go
@@ -210,7 +210,7 @@
 // Stop makes Run drain the balancer and return. Stop does not block.
 func (b *Balancer) Stop() { b.stopOnce.Do(func() { close(b.stop) }) }
 
-// leave tells control that the balancer is leaving, or, if gone is set, that it has
+// leave notifies control that the balancer is leaving, or, if gone is set, that it has
 // left.
 func (b *Balancer) leave(gone bool) {
 	ctx, cancel := context.WithTimeout(context.Background(), leaveTimeout)
--- a/internal/fleet/follower.go
+++ b/internal/fleet/follower.go
@@ -293,7 +293,7 @@
 	}
 }
 
-// handleFailure forgets the leader after a failed call.
+// handleFailure clears the leader after a failed call.
 func (f *Follower) handleFailure(addr netip.AddrPort, err error) {
 	if f.connected && f.ctx.Err() == nil {
 		_ = level.Warn(f.logger).Log("msg", "control lost", "at", addr, "revision", f.view.State().Revision, "err", err)
@@ -303,7 +303,7 @@
 	f.waitForNextRound()
 }
 
-// handleRedirect forgets the leader after a reply of an instance that does not lead, and
+// handleRedirect clears the leader after a reply of an instance that does not lead, and
 // remembers the leader that it names.
 func (f *Follower) handleRedirect(addr netip.AddrPort, out *fleetwire.PollReply) {
 	f.members = addresses(out.GetMembers())
--- a/internal/fleet/registry.go
+++ b/internal/fleet/registry.go
@@ -53,7 +53,7 @@
 }
 
 // registry holds the agents known to the leader. An agent is published to nodes, which then
-// send it flows, only once it is on the list in the log. A later leader can therefore tell
+// send it flows, only once it is on the list in the log. A later leader can therefore determine
 // whether every agent that may hold flows has announced itself. The zero value is not usable.
 type registry struct {
 	mu sync.Mutex
@@ -78,7 +78,7 @@
 	// startedEmpty is set if the list was empty when the term began. The first agents of a
 	// deployment are not on it, so an empty missing does not mean that all have announced themselves.
 	startedEmpty bool
-	// oldestContact is the earliest of the times at which the leader last heard from each agent
+	// oldestContact is the earliest of the times of the leader's last contact with each agent
 	// that is not silent, as of contactCheckedAt.
 	oldestContact, contactCheckedAt time.Time
 	// listUpdate holds a value when the list in the log may differ from the records.
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -39,7 +39,7 @@
 	f.term, f.registry = out.GetTerm(), out.GetRegistry()
 }
 
-// Guards against nodes that drop live targets which a new leader has not heard from yet.
+// Guards against nodes that drop live targets that have not yet contacted a new leader.
 func TestNewLeaderLosesNoTarget(t *testing.T) {
 	c := qt.New(t)
 	now := time.Now()
--- a/internal/fleet/rotation.go
+++ b/internal/fleet/rotation.go
@@ -63,7 +63,7 @@
 // lostMost reports whether fewer than half of the balancers are alive.
 func (z zoneBalancers) lostMost() bool { return 2*z.alive < z.known }
 
-// startTerm forgets all balancers when a new term of leadership begins.
+// startTerm removes all balancers when a new term of leadership begins.
 func (r *Rotation) startTerm(term uint64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -59,7 +59,7 @@
 	Admit(ctx context.Context, addr netip.AddrPort) error
 	Replace(ctx context.Context, old string, addr netip.AddrPort) error
 	Remove(ctx context.Context, member string) error
-	// Silent returns the time since the leader last heard from a member.
+	// Silent returns the time since the leader's last contact with a member.
 	Silent(id string) time.Duration
 }
 
--- a/internal/fleet/view.go
+++ b/internal/fleet/view.go
@@ -125,7 +125,7 @@
 	// FirstUpdate is when the node received its first reply. Agents may be missing until
 	// StartupGrace after it.
 	FirstUpdate time.Time `json:"First"`
-	// Complete is false while the leader may not have heard from all agents.
+	// Complete is false while agents may be missing from the leader's registry.
 	Complete bool
 	// Standby is set while the balancers of the node's zone should leave the fabric's rotation.
 	Standby bool
@@ -452,7 +452,7 @@
 	}
 	for _, a := range r.GetAnnouncements() {
 		old := v.announcements[a.GetAgent()]
-		if a.GetService() == "" { // this leader has not heard from the agent, but an earlier one had
+		if a.GetService() == "" { // the agent announced itself to an earlier leader only
 			if old == nil {
 				continue
 			}
--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -14,7 +14,7 @@
 const (
 	// defaultIdleTimeout applies if the configuration sets no idle timeout.
 	defaultIdleTimeout = 15 * time.Second
-	// idleTimeoutMargin is added to the idle timeout before an agent forgets a flow.
+	// idleTimeoutMargin is added to the idle timeout before an agent removes a flow.
 	idleTimeoutMargin = 5 * time.Second
 	// closedFlowLifetime is how long a closed flow is kept, so that the caller's last packets
 	// still reach their target: eight retransmissions take 10 s.
@@ -283,7 +283,7 @@
 	}
 }
 
-// sendHint tells the balancer and the directory that this agent has a flow. It sends at most one
+// sendHint informs the balancer and the directory that this agent has a flow. It sends at most one
 // hint in each hintInterval.
 func (a *Agent) sendHint(e *flowEntry, x *fleetwire.Frame, f mangokeel.Flow) {
 	now := a.now()
--- a/internal/packet/balancer.go
+++ b/internal/packet/balancer.go
@@ -340,7 +340,7 @@
 	b.recordResponse(agent, b.now())
 }
 
-// Sweep removes expired hints, pending opens and health records. It also tells the stall detector
+// Sweep removes expired hints, pending opens and health records. It also informs the stall detector
 // that the process runs, so it must be called at intervals shorter than lateAfter.
 func (b *Balancer) Sweep() {
 	b.mu.Lock()
--- a/internal/packet/fleet_test.go
+++ b/internal/packet/fleet_test.go
@@ -453,7 +453,7 @@
 	}
 }
 
-// Guards against callers that are not told that their target has stopped: its flows must end with
+// Guards against callers that are not informed that their target has stopped: its flows must end with
 // a reset, so that a request that may be retried runs elsewhere at once.
 func TestTargetRestart(t *testing.T) {
 	c := qt.New(t)
--- a/internal/packet/registrar.go
+++ b/internal/packet/registrar.go
@@ -79,7 +79,7 @@
 	a.sendHoldings(frames)
 }
 
-// registerAccepted tells the first registrars of a flow that the local target has accepted it. It
+// registerAccepted informs the first registrars of a flow that the local target has accepted it. It
 // must be called before the caller receives the answer, so that later packets of the flow can be
 // routed even if this process stops at once.
 func (a *Agent) registerAccepted(f mangokeel.Flow, e *flowEntry) {
--- a/internal/packet/search.go
+++ b/internal/packet/search.go
@@ -26,7 +26,7 @@
 	// roundPause separates the rounds of a search. Owners register their flows within
 	// maxRegisterDelay.
 	roundPause = maxRegisterDelay
-	// maxReportAge is how recently control must have heard from all agents before a flow counts as
+	// maxReportAge is the maximum age of control's last contact with each agent for a flow to count as
 	// ended. They poll every 0.5 s, and so does the agent that searches. The bound exposes an
 	// agent that stopped before it could register a flow.
 	maxReportAge = 1200 * time.Millisecond
@@ -87,7 +87,7 @@
 //   - Each agent of the flow's services has reported that its target does not hold it.
 //   - The services have too many agents to ask, the registrars would know the flow, and each
 //     owner had the time to inform all of them: either all nodes have had the same registrars
-//     for long enough, or control has heard from all agents since the search began.
+//     for long enough, or all agents have contacted control since the search began.
 //
 // A flow also counts as ended if the target that had it returns its packet.
 type search struct {
@@ -227,7 +227,7 @@
 	a.replyOwner(s, from, f, e)
 }
 
-// replyOwner tells an agent which agent holds a flow.
+// replyOwner informs an agent which agent holds a flow.
 func (a *Agent) replyOwner(s *fleet.State, to netip.AddrPort, f mangokeel.Flow, e *flowEntry) {
 	x := a.newFlowFrame(fleetwire.Kind_KIND_HINT, s, f)
 	x.Opened, x.Established, x.Passed = e.openSequence, e.established, [][]byte{a.encodedAddress}
@@ -237,7 +237,7 @@
 	a.send(to, x, nil)
 }
 
-// replyUnknown tells an agent that this one knows no owner of a flow. settled is set if this agent
+// replyUnknown informs an agent that this one knows no owner of a flow. settled is set if this agent
 // would know the owner if there were one.
 func (a *Agent) replyUnknown(s *fleet.State, to netip.AddrPort, f mangokeel.Flow, settled bool) {
 	x := a.newFlowFrame(fleetwire.Kind_KIND_UNKNOWN, s, f)
--- a/internal/replica/leader.go
+++ b/internal/replica/leader.go
@@ -106,7 +106,7 @@
 	c.notifyFormerVoters()
 }
 
-// notifyFormerVoters tells the instances at the addresses of former voters that the
+// notifyFormerVoters informs the instances at the addresses of former voters that the
 // cluster exists. The addresses may be those of the first start. Once all of the first
 // voters have lost their disks and been replaced one by one, empty instances
 // started there would otherwise create a second cluster.
--- a/standin/limit/limit.go
+++ b/standin/limit/limit.go
@@ -9,7 +9,7 @@
 //	fmt.Println(limit.Count(served, from, to))
 //
 // Requests that begin during the outage reach a target only with one of the copies that callers
-// send; Outage.Copies says when.
+// send; Outage.Copies has their ages.
 package limit
 
 import (
@@ -54,7 +54,7 @@
 	Request, Answer time.Duration
 }
 
-// Outcome says how a request ended.
+// Outcome is how a request ended.
 type Outcome int
 
 // Outcomes of a request.
--- a/standin/limit/limit_test.go
+++ b/standin/limit/limit_test.go
@@ -42,7 +42,7 @@
 	c.Assert(n.InTime >= 195 && n.InTime <= 205, qt.IsTrue, qt.Commentf("%+v", n))
 }
 
-// Guards against answers in time for requests of the dark, and against a limit that forgets those
+// Guards against answers in time for requests of the dark, and against a limit that ignores those
 // which can still be answered late.
 func TestOutage(t *testing.T) {
 	c := qt.New(t)
--- a/standin/model/fleet.go
+++ b/standin/model/fleet.go
@@ -391,7 +391,7 @@
 // poll brings a node's view up to date.
 func (m *Fleet) poll(v *fleet.View) { m.pollAs(v, false) }
 
-// pollAs brings the view of a node up to date that is told whether to stand by.
+// pollAs updates the view of a node, with control's request to stand by.
 func (m *Fleet) pollAs(v *fleet.View, standby bool) {
 	r := &fleetwire.PollReply{
 		Leading: true, Desired: m.Revision, Whole: true, Routes: m.Routes, Services: m.Services, Zones: m.Zones,
