--- a/internal/packet/balancer.go
+++ b/internal/packet/balancer.go
@@ -143,7 +143,7 @@
 	now := b.now()
 	b.rankCandidates(s, service, h, now)
 	if len(b.candidates) == 0 {
-		if p.Copy == 0 && s.TargetsKnown(b.now()) {
+		if p.Copy == 0 && s.TargetsKnown(now) {
 			b.events.record(Refused, f, "reason", "no target", "service", service, "revision", s.Revision)
 			b.link.SendToCaller(f.Caller.Addr(), b.codec.Reset(p))
 			return
--- a/internal/packet/crowd_test.go
+++ b/internal/packet/crowd_test.go
@@ -55,62 +55,60 @@
 	return model.LoadConfig{PerSecond: perSecond, For: d, Aim: w.targetTime(), Deadline: w.targetTime() + 1200*time.Millisecond, Retries: 2}
 }
 
+// forEachWorkload runs a test with each workload.
+func forEachWorkload(t *testing.T, fn func(c *qt.C, w workload)) {
+	for _, w := range workloads {
+		t.Run(w.String(), func(t *testing.T) { fn(qt.New(t), w) })
+	}
+}
+
 // Pattern: even load at 60% of the capacity, with work of other lengths and other slots than usual.
 // Guards against limits and waits that fit one length of work only.
 func TestEvenLoad(t *testing.T) {
-	for _, w := range workloads {
-		t.Run(w.String(), func(t *testing.T) {
-			c := qt.New(t)
-			m, capacity := w.newFleet(70)
-			m.Load(w.load(0.6*capacity, 5*time.Second))
-			m.Run(8 * time.Second)
-			assertNoFaults(c, m)
-			t.Logf("%v frames=%d", m.Stats, m.Frames)
-			c.Assert(m.Stats.InAim >= m.Stats.Asked*99/100, qt.IsTrue, qt.Commentf("%v", m.Stats))
-		})
-	}
+	forEachWorkload(t, func(c *qt.C, w workload) {
+		m, capacity := w.newFleet(70)
+		m.Load(w.load(0.6*capacity, 5*time.Second))
+		m.Run(8 * time.Second)
+		assertNoFaults(c, m)
+		c.Logf("%v frames=%d", m.Stats, m.Frames)
+		c.Assert(m.Stats.InAim >= m.Stats.Asked*99/100, qt.IsTrue, qt.Commentf("%v", m.Stats))
+	})
 }
 
 // Pattern: a crest of 130% of the capacity for a second within a load of 60%. Guards against
 // callers that are refused or answered late long after the crest.
 func TestCrest(t *testing.T) {
-	for _, w := range workloads {
-		t.Run(w.String(), func(t *testing.T) {
-			c := qt.New(t)
-			m, capacity := w.newFleet(71)
-			m.Load(w.load(0.6*capacity, 6*time.Second))
-			m.Run(2 * time.Second)
-			m.Load(w.load(0.7*capacity, time.Second))
-			asked, inAim := countDuring(m, time.Second)
-			t.Logf("crest: asked=%d in-aim=%d", asked, inAim)
-			m.Run(time.Second) // the crest's callers leave
-			asked, inAim = countDuring(m, time.Second)
-			m.Run(4 * time.Second)
-			assertNoFaults(c, m)
-			t.Logf("%v frames=%d", m.Stats, m.Frames)
-			c.Assert(inAim >= asked*95/100, qt.IsTrue, qt.Commentf("%d of %d in aim from a second after the crest, %v", inAim, asked, m.Stats))
-		})
-	}
+	forEachWorkload(t, func(c *qt.C, w workload) {
+		m, capacity := w.newFleet(71)
+		m.Load(w.load(0.6*capacity, 6*time.Second))
+		m.Run(2 * time.Second)
+		m.Load(w.load(0.7*capacity, time.Second))
+		asked, inAim := countDuring(m, time.Second)
+		c.Logf("crest: asked=%d in-aim=%d", asked, inAim)
+		m.Run(time.Second) // the crest's callers leave
+		asked, inAim = countDuring(m, time.Second)
+		m.Run(4 * time.Second)
+		assertNoFaults(c, m)
+		c.Logf("%v frames=%d", m.Stats, m.Frames)
+		c.Assert(inAim >= asked*95/100, qt.IsTrue, qt.Commentf("%d of %d in aim from a second after the crest, %v", inAim, asked, m.Stats))
+	})
 }
 
 // Pattern: an outage of two seconds at 40% of the capacity, after which all callers return at once to
 // cold targets. Guards against crowds that outlast the outage by more than 2 s.
 func TestReturningCrowd(t *testing.T) {
-	for _, w := range workloads {
-		t.Run(w.String(), func(t *testing.T) {
-			c := qt.New(t)
-			m, capacity := w.newFleet(72)
-			m.Load(w.load(0.4*capacity, 12*time.Second))
-			m.Run(2 * time.Second)
-			runOutage(m)
-			asked, inAim := countDuring(m, time.Second)
-			t.Logf("first second: asked=%d in-aim=%d", asked, inAim)
-			m.Run(time.Second)
-			asked, inAim = countDuring(m, 4*time.Second)
-			m.Run(4 * time.Second)
-			assertNoFaults(c, m)
-			t.Logf("%v frames=%d", m.Stats, m.Frames)
-			c.Assert(inAim >= asked*95/100, qt.IsTrue, qt.Commentf("%d of %d in aim from 2 s after the outage, %v", inAim, asked, m.Stats))
-		})
-	}
+	forEachWorkload(t, func(c *qt.C, w workload) {
+		m, capacity := w.newFleet(72)
+		m.Load(w.load(0.4*capacity, 12*time.Second))
+		m.Run(2 * time.Second)
+		runOutage(m)
+		asked, inAim := countDuring(m, time.Second)
+		c.Logf("first second: asked=%d in-aim=%d", asked, inAim)
+		m.Run(time.Second)
+		asked, inAim = countDuring(m, 4*time.Second)
+		m.Run(4 * time.Second)
+		assertNoFaults(c, m)
+		c.Logf("%v frames=%d", m.Stats, m.Frames)
+		c.Assert(inAim >= asked*95/100, qt.IsTrue, qt.Commentf("%d of %d in aim from 2 s after the outage, %v", inAim, asked, m.Stats))
+	})
 }
