--- a/review/_standin/fleet.go
+++ b/review/_standin/fleet.go
@@ -43,6 +43,7 @@
 	zone    string
 	service string
 	first   bool
+	oneCore bool // the process sees one processor
 	mu      sync.Mutex
 	cmd     *exec.Cmd
 	ended   chan struct{}
@@ -148,7 +149,11 @@
 	cmd.Env = []string{"PATH=" + os.Getenv("PATH"), "HOME=" + os.Getenv("HOME"), "MANGOKEEL_CONFIG=" + file}
 	cmd.Stdout, cmd.Stderr = log, log
 	cmd.SysProcAttr = &syscall.SysProcAttr{Pdeathsig: syscall.SIGKILL}
-	if err := cmd.Start(); err != nil {
+	start := cmd.Start
+	if m.oneCore {
+		start = func() error { return startOnOneCore(cmd) }
+	}
+	if err := start(); err != nil {
 		fail("start %s: %v", m.name, err)
 	}
 	ended := make(chan struct{})
--- a/review/_standin/writer.go
+++ b/review/_standin/writer.go
@@ -22,13 +22,16 @@
 
 var zones = []string{"port-louis", "plaisance", "ebene"}
 
-// startCore starts three control instances.
-func startCore(f *fleet) (cs []*machine) {
+// startCore starts three control instances, after options have been applied to them.
+func startCore(f *fleet, options ...func(m *machine)) (cs []*machine) {
 	for i := range 3 {
 		f.seeds = append(f.seeds, fmt.Sprintf("%s:%d", f.ip(i+1), f.ports.control))
 		cs = append(cs, f.add("control", fmt.Sprintf("core-%s-1", zones[i]), i+1, zones[i]))
 	}
 	for _, c := range cs {
+		for _, o := range options {
+			o(c)
+		}
 		c.start()
 		c.first = false
 	}
