platform, packet: reports of another sender do not replace the target

Cause: the adapter passed on whatever service a report named and filled in missing fields, and the agent let a report take precedence over its own settings. A later start time then made its sender a new incarnation of the target, which ends the flows of the one before.

Ruled out: a restart of the target (its serial goes on), an expired lease (control logs none), the search for lost flows (no `searched`).

The agent rejects a report of another service or address than its settings name. The agent's service is read again with the settings, since the settings now decide.

Tests that compared HandleReport with true and false now name the error; the late report of an earlier incarnation in TestReportsInOrder names the agent's service, and the one of another service stands beside it with its own error.

--- a/internal/packet/admission.go
+++ b/internal/packet/admission.go
@@ -1,8 +1,11 @@
 package packet
 
 import (
+	"net/netip"
 	"time"
 
+	"github.com/cockroachdb/errors"
+
 	"mangokeel"
 	"mangokeel/internal/fleet"
 	"mangokeel/internal/fleetwire"
@@ -30,12 +33,23 @@
 	refusalBackoff = 15 * time.Millisecond
 )
 
+// Errors of HandleReport.
+var (
+	// ErrForeignReport is returned for a report that is not about the agent's own target.
+	ErrForeignReport = errors.New("the report is not about this agent's target")
+	// ErrOldReport is returned for a report of an incarnation that has announced its stop or that
+	// another incarnation has replaced.
+	ErrOldReport = errors.New("the report is from an incarnation that has ended")
+)
+
 // Report is a status report of a target.
 type Report struct {
 	// ID and StartedAt, which is by the target's clock, identify the incarnation.
 	ID        string
 	StartedAt time.Time
 	Service   string
+	// Address is where the target takes packets, or the zero value if the report does not tell.
+	Address netip.AddrPort
 	// Draining targets keep their flows and accept no new ones.
 	Draining bool
 	Slots    int
@@ -182,23 +196,55 @@
 	}
 }
 
-// HandleReport applies a status report of the target. It returns false if the report is from an
-// incarnation that has announced its stop or that another incarnation has replaced.
-func (a *Agent) HandleReport(r Report) bool {
+// RejectReport records a report that cannot be read.
+func (a *Agent) RejectReport(id string, err error) { a.events.recordReport(Rejected, id, err) }
+
+// checkReport reports whether a report is about the agent's own target. Reports of other senders
+// can arrive at the same address.
+func (a *Agent) checkReport(r Report) error {
+	switch {
+	case a.cfg.Service != "" && r.Service != a.cfg.Service:
+		return errors.Wrapf(ErrForeignReport, "service %q instead of %q", r.Service, a.cfg.Service)
+	case a.cfg.Target.IsValid() && r.Address.IsValid() && r.Address != a.cfg.Target:
+		return errors.Wrapf(ErrForeignReport, "address %s instead of %s", r.Address, a.cfg.Target)
+	}
+	return nil
+}
+
+// SetService changes the service of the target by the settings, after these were read again.
+func (a *Agent) SetService(name string) {
 	a.mu.Lock()
 	defer a.mu.Unlock()
+	if name != a.cfg.Service {
+		a.events.logChange("service of the target changed", "service", name, "before", a.cfg.Service)
+		a.cfg.Service = name
+	}
+}
+
+// HandleReport applies a status report of the target. It returns ErrForeignReport or ErrOldReport
+// if it ignores the report.
+func (a *Agent) HandleReport(r Report) error {
+	a.mu.Lock()
+	defer a.mu.Unlock()
+	if err := a.checkReport(r); err != nil {
+		a.events.recordReport(Rejected, r.ID, err)
+		return err
+	}
 	now := a.now()
 	g := &a.admission
 	same := g.known && r.ID == g.id && r.StartedAt.Equal(g.startedAt)
 	switch {
 	case same && (g.stopped || r.Serial <= g.serial):
-		return !g.stopped // duplicate or reordered report
+		if g.stopped {
+			return ErrOldReport
+		}
+		return nil // duplicate or reordered report
 	case same:
 	case !g.known:
 		a.fresh = r.isInitial(now, a.cfg.ReportPeriod)
 		a.aware = a.aware || a.fresh
 	case !r.StartedAt.After(g.startedAt) && now.Sub(g.lastReport) < reportTimeout:
-		return false
+		return ErrOldReport
 	default:
 		a.events.logChange("target restarted", "id", r.ID, "before", g.id, "flows", a.open)
 		a.scheduleResets(now.Add(-max(0, now.Sub(r.StartedAt))))
@@ -216,7 +262,7 @@
 		recentOpens: g.recentOpens, unanswered: g.unanswered, unansweredSince: g.unansweredSince, lastOpen: g.lastOpen,
 		backoffUntil: g.backoffUntil,
 	}
-	return true
+	return nil
 }
 
 // HandleTargetStop handles the notice that an incarnation of the target stops.
--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -49,8 +49,10 @@
 	// Address is where other nodes send frames to this agent.
 	Address netip.AddrPort
 	Zone    mangokeel.AvailabilityZone
-	// Service is the target's service by the settings. The target's reports take precedence.
+	// Service is the target's service, and Target the address where it takes packets. Reports that
+	// name others are rejected. Empty values are not checked.
 	Service string
+	Target  netip.AddrPort
 	// Start distinguishes incarnations of the agent.
 	Start uint64
 	// ReportPeriod is the time between the target's reports, or 0 if it is not known.
--- a/internal/packet/agent_test.go
+++ b/internal/packet/agent_test.go
@@ -67,7 +67,7 @@
 func newTestAgent(c *qt.C, reply *fleetwire.PollReply) *testAgent {
 	n := &testAgent{recordingLink: &recordingLink{}, c: c, view: &fleet.View{}, now: time.Date(2026, 1, 1, 0, 0, 0, 0, time.UTC)}
 	n.view.Apply(reply, n.now)
-	n.agent = packet.NewAgent(packet.AgentConfig{Address: self, Service: "s"}, model.Codec{}, n.view, n.recordingLink,
+	n.agent = packet.NewAgent(packet.AgentConfig{Address: self, Service: "s", Target: self}, model.Codec{}, n.view, n.recordingLink,
 		packet.WithClock(func() time.Time { return n.now }))
 	n.agent.HandleReport(packet.Report{ID: "i", StartedAt: n.now, Service: "s", Slots: 2, Serial: 1})
 	n.now = n.now.Add(2 * fleet.StartupGrace)
@@ -278,19 +278,63 @@
 	c := qt.New(t)
 	n := newTestAgent(c, reply(5, "s"))
 	born := n.now
-	c.Assert(n.agent.HandleReport(packet.Report{ID: "i", StartedAt: born, Service: "s", Slots: 2, Serial: 1}), qt.IsTrue)
-	c.Assert(n.agent.HandleReport(packet.Report{ID: "i", StartedAt: born, Service: "s", Slots: 2, Serial: 3, Draining: true}), qt.IsTrue)
+	c.Assert(n.agent.HandleReport(packet.Report{ID: "i", StartedAt: born, Service: "s", Slots: 2, Serial: 1}), qt.IsNil)
+	c.Assert(n.agent.HandleReport(packet.Report{ID: "i", StartedAt: born, Service: "s", Slots: 2, Serial: 3, Draining: true}), qt.IsNil)
 	n.agent.HandleReport(packet.Report{ID: "i", StartedAt: born, Service: "s", Slots: 2, Serial: 2}) // overtaken by serial 3
 	n.receive(open(5))
 	c.Assert(n.target, qt.HasLen, 0)
-	c.Assert(n.agent.HandleReport(packet.Report{ID: "old", StartedAt: born.Add(-time.Minute), Service: "x", Slots: 2, Serial: 90}), qt.IsFalse)
-	c.Assert(n.agent.HandleReport(packet.Report{ID: "i", StartedAt: born.Add(time.Second), Service: "s", Slots: 2, Serial: 1}), qt.IsTrue)
+	old := packet.Report{ID: "old", StartedAt: born.Add(-time.Minute), Service: "s", Slots: 2, Serial: 90}
+	c.Assert(n.agent.HandleReport(old), qt.ErrorIs, packet.ErrOldReport)
+	old.Service = "x"
+	c.Assert(n.agent.HandleReport(old), qt.ErrorIs, packet.ErrForeignReport)
+	c.Assert(n.agent.HandleReport(packet.Report{ID: "i", StartedAt: born.Add(time.Second), Service: "s", Slots: 2, Serial: 1}), qt.IsNil)
 	x, p := open(5)
 	p.Sequence = 10
 	n.receive(x, p)
 	c.Assert(n.target, qt.HasLen, 1)
 }
 
+// Guards against a report of another sender that ends the flows of a living target and takes it out of
+// use until the target's own reports count again (review case 2).
+func TestReportsOfAnotherSender(t *testing.T) {
+	for _, x := range []struct {
+		name   string
+		report packet.Report
+	}{
+		{"another service", packet.Report{Service: "x"}},
+		{"another address", packet.Report{Service: "s", Address: other}},
+	} {
+		t.Run(x.name, func(t *testing.T) {
+			c := qt.New(t)
+			n := newTestAgent(c, reply(5, "s"))
+			n.receive(open(5))
+			n.answer(mangokeel.Packet{Accepting: true})
+			x.report.ID, x.report.StartedAt, x.report.Slots, x.report.Serial = "x", n.now, 1, 1
+			c.Assert(n.agent.HandleReport(x.report), qt.ErrorIs, packet.ErrForeignReport)
+			n.now = n.now.Add(50 * time.Millisecond)
+			n.agent.Sweep()
+			c.Assert(n.resets, qt.HasLen, 0)
+			c.Assert(n.agent.Announcement().GetService(), qt.Equals, "s")
+			f, p := open(5)
+			p.Sequence++
+			n.receive(f, p)
+			c.Assert(n.target, qt.HasLen, 2)
+		})
+	}
+}
+
+// Guards against a target whose reports are rejected for ever because the settings have given its
+// address to another service since the agent started.
+func TestServiceOfTheSettingsChanges(t *testing.T) {
+	c := qt.New(t)
+	n := newTestAgent(c, reply(5, "s"))
+	r := packet.Report{ID: "j", StartedAt: n.now, Service: "x", Slots: 2, Serial: 1}
+	c.Assert(n.agent.HandleReport(r), qt.ErrorIs, packet.ErrForeignReport)
+	n.agent.SetService("x")
+	c.Assert(n.agent.HandleReport(r), qt.IsNil)
+	c.Assert(n.agent.Announcement().GetService(), qt.Equals, "x")
+}
+
 // Guards against a target whose reports are ignored for ever because its clock went back before it
 // started, and against a late report that reverts a departure.
 func TestReportsOfOtherIncarnations(t *testing.T) {
@@ -298,16 +342,16 @@
 	n := newTestAgent(c, reply(5, "s"))
 	earlier := packet.Report{ID: "k", StartedAt: n.now.Add(-time.Hour), Service: "s", Slots: 2, Serial: 1}
 	n.agent.HandleReport(packet.Report{ID: "j", StartedAt: n.now, Service: "s", Slots: 2, Serial: 1})
-	c.Assert(n.agent.HandleReport(earlier), qt.IsFalse, qt.Commentf("the current incarnation is alive"))
+	c.Assert(n.agent.HandleReport(earlier), qt.ErrorIs, packet.ErrOldReport, qt.Commentf("the current incarnation is alive"))
 	born := n.now
 	n.now = n.now.Add(5 * time.Second)
-	c.Assert(n.agent.HandleReport(earlier), qt.IsTrue)
+	c.Assert(n.agent.HandleReport(earlier), qt.IsNil)
 	c.Assert(n.agent.HasTarget(), qt.IsTrue)
 	n.agent.HandleTargetStop("k")
 	earlier.Serial = 9
-	c.Assert(n.agent.HandleReport(earlier), qt.IsFalse)
+	c.Assert(n.agent.HandleReport(earlier), qt.ErrorIs, packet.ErrOldReport)
 	c.Assert(n.agent.HasTarget(), qt.IsFalse)
-	c.Assert(n.agent.HandleReport(packet.Report{ID: "l", StartedAt: born.Add(time.Hour), Service: "s", Slots: 2, Serial: 1}), qt.IsTrue)
+	c.Assert(n.agent.HandleReport(packet.Report{ID: "l", StartedAt: born.Add(time.Hour), Service: "s", Slots: 2, Serial: 1}), qt.IsNil)
 	c.Assert(n.agent.HasTarget(), qt.IsTrue)
 }
 
--- a/internal/packet/events.go
+++ b/internal/packet/events.go
@@ -46,6 +46,8 @@
 	Ended
 	// Failed requests got no answer from the target, or an answer that reports a failure.
 	Failed
+	// Rejected reports are not about the agent's own target or cannot be read.
+	Rejected
 	eventCount
 )
 
@@ -53,7 +55,7 @@
 func (e Event) String() string {
 	return [...]string{
 		"forwarded", "delivered", "returned", "answered", "opened", "asked", "dropped", "malformed", "bypassed",
-		"passed", "queued", "refused", "searched", "lost", "ended", "failed",
+		"passed", "queued", "refused", "searched", "lost", "ended", "failed", "rejected",
 	}[e]
 }
 
@@ -77,7 +79,7 @@
 
 func (e Event) class() eventClass {
 	switch e {
-	case Refused, Lost, Ended, Bypassed, Failed:
+	case Refused, Lost, Ended, Bypassed, Failed, Rejected:
 		return failureEvent
 	}
 	return ordinaryEvent
@@ -180,7 +182,18 @@
 	if !ok {
 		return
 	}
-	line := append([]any{"msg", k.String(), "flow", f.Caller.String() + ">" + f.Address.String()}, keyvals...)
+	e.log(omitted, append([]any{"msg", k.String(), "flow", f.Caller.String() + ">" + f.Address.String()}, keyvals...))
+}
+
+// recordReport counts an event of a target's report and logs it, if the rate limit allows.
+func (e *Events) recordReport(k Event, id string, err error) {
+	e.count(k)
+	if omitted, ok := e.allow(k.class()); ok {
+		e.log(omitted, []any{"msg", "report " + k.String(), "id", id, "err", err})
+	}
+}
+
+func (e *Events) log(omitted int, line []any) {
 	if omitted > 0 {
 		line = append(line, "omitted", omitted)
 	}
--- a/pkg/settings/node.go
+++ b/pkg/settings/node.go
@@ -84,7 +84,7 @@
 type PacketAgent struct {
 	Name string `yaml:"name"`
 	Zone string `yaml:"zone"`
-	// Service is what the target is expected to serve. The target's own word counts.
+	// Service is the target's service. Reports that name another one are rejected.
 	Service string `yaml:"service"`
 	// Data is where balancers and other agents send frames.
 	Data netip.AddrPort `yaml:"data"`
