packet: a second incarnation replaces the target once the first has stopped reporting

Cause: any report with a later start time replaced the current incarnation at once, although only one process can have the target's address and the current one goes on reporting.

Ruled out: that the check of service and address covers it (TestReportOfSecondIncarnation passes both checks and failed); that resets can wait for returned packets alone (callers who wait for an answer send none).

Change: the report is kept until the current incarnation has missed a report or has announced its stop; a report of the current one drops it. The target counts as cold meanwhile if the kept report says so. Stalls of the agent's process do not count as silence.

Tests: TestReportOfSecondIncarnation and TestDeferredReportOfColdTarget; the rows with a living target fail without the change. Their assertions are the same.

--- a/internal/packet/admission.go
+++ b/internal/packet/admission.go
@@ -28,6 +28,8 @@
 	// start time may replace the current one: the target's clock may have been set back. Targets
 	// report about every 0.8 s.
 	reportTimeout = 3 * time.Second
+	// defaultReportPeriod applies if the settings do not name the time between reports.
+	defaultReportPeriod = 800 * time.Millisecond
 	// refusalBackoff is how long a target that returned an opening packet gets no further one:
 	// about the service time of a small request.
 	refusalBackoff = 15 * time.Millisecond
@@ -77,8 +79,11 @@
 	startedAt      time.Time
 	serial         uint64
 	lastReport     time.Time
-	service        string
-	slots          int
+	// deferred is the last report of another incarnation that may have replaced the current one, or
+	// nil.
+	deferred *Report
+	service  string
+	slots    int
 	// coldUntil is when the target stops being cold by its last report. maybeCold is set if the
 	// target may have become cold since then.
 	coldUntil time.Time
@@ -234,19 +239,67 @@
 	g := &a.admission
 	same := g.known && r.ID == g.id && r.StartedAt.Equal(g.startedAt)
 	switch {
-	case same && (g.stopped || r.Serial <= g.serial):
-		if g.stopped {
-			return ErrOldReport
-		}
+	case same && g.stopped:
+		return ErrOldReport
+	case same && r.Serial <= g.serial:
 		return nil // duplicate or reordered report
-	case same:
+	case same || !g.known:
+	case !r.StartedAt.After(g.startedAt) && now.Sub(g.lastReport) < reportTimeout:
+		return ErrOldReport
+	case !g.stopped && a.mayStillReport(now):
+		a.deferReport(r)
+		return nil
+	}
+	a.applyReport(r, now)
+	return nil
+}
+
+// mayStillReport reports whether the current incarnation of the target may be running: less than one
+// and a half periods have passed since its last report, or since this process has resumed after a
+// stall, in which reports could not be received.
+func (a *Agent) mayStillReport(now time.Time) bool {
+	period := a.cfg.ReportPeriod
+	if period == 0 {
+		period = defaultReportPeriod
+	}
+	since := a.admission.lastReport
+	if a.stall.resumedAt.After(since) {
+		since = a.stall.resumedAt
+	}
+	return a.stall.stalled(now) || now.Sub(since) < period+period/2
+}
+
+// deferReport keeps the first report of another incarnation until the current one has missed a
+// report. Only one of them can run: if the current one reports again, the other sender is not the
+// target. Until then the target may be the other one, which may be cold.
+func (a *Agent) deferReport(r Report) {
+	g := &a.admission
+	if d := g.deferred; d == nil || d.ID != r.ID || !d.StartedAt.Equal(r.StartedAt) {
+		a.events.logChange("report of another incarnation deferred", "id", r.ID, "current", g.id, "silent", a.now().Sub(g.lastReport))
+	}
+	g.deferred = &r
+	g.maybeCold = g.maybeCold || r.ColdFor > 0
+}
+
+// applyDeferred applies a deferred report once the current incarnation has stopped or missed a
+// report.
+func (a *Agent) applyDeferred(now time.Time) {
+	g := &a.admission
+	if r := g.deferred; r != nil && (g.stopped || !a.mayStillReport(now)) {
+		a.applyReport(*r, now)
+	}
+}
+
+// applyReport makes a report the state of the target. A report of another incarnation than the
+// current one ends the flows of that one.
+func (a *Agent) applyReport(r Report, now time.Time) {
+	g := &a.admission
+	switch {
 	case !g.known:
 		a.fresh = r.isInitial(now, a.cfg.ReportPeriod)
 		a.aware = a.aware || a.fresh
-	case !r.StartedAt.After(g.startedAt) && now.Sub(g.lastReport) < reportTimeout:
-		return ErrOldReport
-	default:
-		a.events.logChange("target restarted", "id", r.ID, "before", g.id, "flows", a.open)
+	case r.ID != g.id || !r.StartedAt.Equal(g.startedAt):
+		a.events.logChange("target restarted", "id", r.ID, "before", g.id, "flows", a.open, "silent", now.Sub(g.lastReport))
 		a.scheduleResets(now.Add(-max(0, now.Sub(r.StartedAt))))
 		a.resetEndingFlows("target restarted")
 		a.aware = true
@@ -262,7 +315,6 @@
 		recentOpens: g.recentOpens, unanswered: g.unanswered, unansweredSince: g.unansweredSince, lastOpen: g.lastOpen,
 		backoffUntil: g.backoffUntil,
 	}
-	return nil
 }
 
 // HandleTargetStop handles the notice that an incarnation of the target stops.
--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -614,6 +614,7 @@
 	defer a.mu.Unlock()
 	now := a.now()
 	a.stall.observe(now)
+	a.applyDeferred(now)
 	a.admitQueued()
 	a.refuseExpired(now)
 	s := a.view.State()
--- a/internal/packet/stall.go
+++ b/internal/packet/stall.go
@@ -60,5 +60,10 @@
 	return s.lastSuspended - before
 }
 
+// stalled reports whether the process has just resumed after a stall that observe has not seen yet.
+func (s *stallDetector) stalled(now time.Time) bool {
+	return !s.lastRun.IsZero() && now.Sub(s.lastRun) > lateAfter
+}
+
 // resumedBefore reports whether t is after the end of the last stall.
 func (s *stallDetector) resumedBefore(t time.Time) bool { return t.After(s.resumedAt) }
