--- a/internal/packet/admission.go
+++ b/internal/packet/admission.go
@@ -80,8 +80,9 @@
 	serial         uint64
 	lastReport     time.Time
 	// deferred is the last report of another incarnation that may have replaced the current one, or
-	// nil.
-	deferred *Report
+	// nil. deferredStop is set once that one has announced its stop.
+	deferred     *Report
+	deferredStop bool
 	service  string
 	slots    int
 	// coldUntil is when the target stops being cold by its last report. maybeCold is set if the
@@ -277,7 +278,7 @@
 	if d := g.deferred; d == nil || d.ID != r.ID || !d.StartedAt.Equal(r.StartedAt) {
 		a.events.logChange("report of another incarnation deferred", "id", r.ID, "current", g.id, "silent", a.now().Sub(g.lastReport))
 	}
-	g.deferred = &r
+	g.deferred, g.deferredStop = &r, false
 	g.maybeCold = g.maybeCold || r.ColdFor > 0
 }
 
@@ -286,7 +287,11 @@
 func (a *Agent) applyDeferred(now time.Time) {
 	g := &a.admission
 	if r := g.deferred; r != nil && (g.stopped || !a.mayStillReport(now)) {
+		stop := g.deferredStop
 		a.applyReport(*r, now)
+		if stop {
+			a.stopTarget()
+		}
 	}
 }
 
@@ -317,14 +322,25 @@
 	}
 }
 
-// HandleTargetStop handles the notice that an incarnation of the target stops.
-func (a *Agent) HandleTargetStop(id string) {
+// HandleTargetStop handles the notice that an incarnation of the target stops. It returns false if
+// that is not the current one.
+func (a *Agent) HandleTargetStop(id string) bool {
 	a.mu.Lock()
 	defer a.mu.Unlock()
-	if !a.admission.known || a.admission.id != id {
-		return
+	g := &a.admission
+	if g.deferred != nil && g.deferred.ID == id {
+		g.deferredStop = true
+	}
+	if !g.known || g.id != id {
+		return false
 	}
-	a.events.logChange("target is stopping", "id", id, "flows", a.open)
+	a.stopTarget()
+	return true
+}
+
+// stopTarget records that the current incarnation of the target stops.
+func (a *Agent) stopTarget() {
+	a.events.logChange("target is stopping", "id", a.admission.id, "flows", a.open)
 	a.admission.ready, a.admission.stopped = false, true
 	a.scheduleResets(a.now())
 	a.resetAt = a.now().Add(endGracePeriod)
--- a/internal/packet/agent_test.go
+++ b/internal/packet/agent_test.go
@@ -403,6 +403,27 @@
 	}
 }
 
+// Guards against a target that is used although its new incarnation has announced its stop before the
+// agent knew that it had replaced the earlier one, and against such a notice of another sender.
+func TestStopOfDeferredIncarnation(t *testing.T) {
+	for _, alive := range []bool{false, true} {
+		c := qt.New(t)
+		n := newTestAgentWithPeriod(c, reply(5, "s"), 770*time.Millisecond)
+		first := packet.Report{ID: "i", StartedAt: n.started, Service: "s", Slots: 2, Serial: 2}
+		c.Assert(n.agent.HandleReport(first), qt.IsNil)
+		c.Assert(n.agent.HandleReport(packet.Report{ID: "x", StartedAt: n.now, Service: "s", Slots: 2, Serial: 1}), qt.IsNil)
+		c.Assert(n.agent.HandleTargetStop("x"), qt.IsFalse)
+		c.Assert(n.agent.HasTarget(), qt.IsTrue)
+		n.run(770 * time.Millisecond)
+		if alive {
+			first.Serial++
+			c.Assert(n.agent.HandleReport(first), qt.IsNil)
+		}
+		n.run(770 * time.Millisecond)
+		c.Assert(n.agent.HasTarget(), qt.Equals, alive)
+	}
+}
+
 // Guards against a target that may have restarted and gets more flows than a cold one can bear while
 // the agent does not know yet whether it has.
 func TestDeferredReportOfColdTarget(t *testing.T) {
