packet: a false serial hides a target's reports for 3 s at most, and its drain not at all

What callers saw: after one report of another sender with the target's id and start time and a number far ahead, all reports of the target itself were taken for late ones until it ended: a drain went unnoticed.

Cause: serials only rise, and nothing ended the reign of a false one.

Ruled out: that the adapter's checks cover it (the number is a valid one).

Change: if no report of the incarnation counted for 3 s, the next one does. A drain counts at once.

Test: TestSerialOfAnotherSender, which failed before (7 slots instead of 2).

--- a/internal/packet/admission.go
+++ b/internal/packet/admission.go
@@ -24,9 +24,9 @@
 	maxUnansweredOpens = 2
 	unansweredTimeout  = 150 * time.Millisecond
 	probeInterval      = 500 * time.Millisecond
-	// reportTimeout is how long ago the last report must be before an incarnation with an earlier
-	// start time may replace the current one: the target's clock may have been set back. Targets
-	// report about every 0.8 s.
+	// reportTimeout is how long ago the last report must be before one with a lower serial, or of an
+	// incarnation with an earlier start time, counts: the target's clock may have been set back, or
+	// another sender's report may have had a false serial. Targets report about every 0.8 s.
 	reportTimeout = 3 * time.Second
 	// defaultReportPeriod applies if the settings do not name the time between reports.
 	defaultReportPeriod = 800 * time.Millisecond
@@ -83,8 +83,8 @@
 	// nil. deferredStop is set once that one has announced its stop.
 	deferred     *Report
 	deferredStop bool
-	service  string
-	slots    int
+	service      string
+	slots        int
 	// coldUntil is when the target stops being cold by its last report. maybeCold is set if the
 	// target may have become cold since then.
 	coldUntil time.Time
@@ -242,8 +242,11 @@
 	switch {
 	case same && g.stopped:
 		return ErrOldReport
-	case same && r.Serial <= g.serial:
-		return nil // duplicate or reordered report
+	case same && r.Serial <= g.serial && now.Sub(g.lastReport) < reportTimeout:
+		// Duplicate or reordered, unless another sender's report had a false serial. A drain is never
+		// taken back, so it counts in either case.
+		g.ready = g.ready && !r.Draining
+		return nil
 	case same || !g.known:
 	case !r.StartedAt.After(g.startedAt) && now.Sub(g.lastReport) < reportTimeout:
 		return ErrOldReport
--- a/internal/packet/agent_test.go
+++ b/internal/packet/agent_test.go
@@ -424,6 +424,33 @@
 	}
 }
 
+// Guards against a report of another sender that carries the target's id and start time and a serial
+// far ahead: the target's own reports, its drain among them, were ignored for ever.
+func TestSerialOfAnotherSender(t *testing.T) {
+	c := qt.New(t)
+	const period = 770 * time.Millisecond
+	n := newTestAgentWithPeriod(c, reply(5, "s"), period)
+	r := packet.Report{ID: "i", StartedAt: n.started, Service: "s", Slots: 2, Serial: 2}
+	c.Assert(n.agent.HandleReport(r), qt.IsNil)
+	forged := r
+	forged.Slots, forged.Serial = 7, 1<<40
+	c.Assert(n.agent.HandleReport(forged), qt.IsNil)
+	for range 5 {
+		n.run(period)
+		r.Serial++
+		c.Assert(n.agent.HandleReport(r), qt.IsNil)
+	}
+	c.Assert(n.agent.Announcement().GetLoad().GetSlots(), qt.Equals, uint32(2))
+
+	forged.Serial++
+	c.Assert(n.agent.HandleReport(forged), qt.IsNil)
+	r.Serial++
+	r.Draining = true
+	c.Assert(n.agent.HandleReport(r), qt.IsNil)
+	n.receive(open(5))
+	c.Assert(n.target, qt.HasLen, 0)
+}
+
 // Guards against a target that may have restarted and gets more flows than a cold one can bear while
 // the agent does not know yet whether it has.
 func TestDeferredReportOfColdTarget(t *testing.T) {
