packet: a node does not route by an older configuration than it has before

Cause: the newer of the agent's and the sender's configuration decided for each flow alone, and nothing was kept of the sender's. Evidence: the agent's own lines `opened ... revision=6` and 400 ms later `opened ... revision=3`, while it had revision 3 itself. The same cause lets a balancer go back, if one agent overrules it and another does not.

Ruled out: an older answer of control (control was away, and views never go back), a restart of the agent.

Change: nodes keep the newest revision that others have shown to be in use, and what those decided for each address. An owner that overruled a balancer tells it by a hint; the balancer's frames then name the oldest revision that may be used.

--- a/internal/packet/agent.go
+++ b/internal/packet/agent.go
@@ -145,6 +145,7 @@
 	stats        targetStats
 	queue        queue
 	loads        map[netip.AddrPort]*loadEstimate
+	revisions    revisions
 	// busy counts the local entries that are busy, open those that are accepted and not closed.
 	busy, open int
 	// endingFlows are the flows of a target that has announced its stop. They are reset at
@@ -178,7 +179,7 @@
 		return
 	}
 	s := a.view.State()
-	if x.GetRevision() > s.Revision {
+	if max(x.GetRevision(), x.GetKnown()) > s.Revision {
 		a.refresh()
 	}
 	a.mu.Lock()
@@ -280,7 +281,7 @@
 	a.events.record(Opened, f, "busy", a.busy, "slots", a.admission.slots, "hops", len(x.GetPassed()), "waited", x.GetWaited(),
 		"revision", x.GetRevision())
 	a.deliver(raw)
-	if len(x.GetPassed()) > 0 {
+	if len(x.GetPassed()) > 0 || x.GetOutdated() {
 		a.sendHint(e, x, f)
 	}
 }
@@ -295,7 +296,8 @@
 	e.hintedAt = now
 	h := &fleetwire.Frame{
 		Kind: fleetwire.Kind_KIND_HINT, Origin: a.encodedAddress, Opened: e.openSequence, Established: e.established, Load: a.load(),
-		Revision: a.view.State().Revision, Caller: fleetwire.Address(f.Caller), Address: fleetwire.Address(f.Address),
+		Revision: a.view.State().Revision, Known: x.GetRevision(), Service: x.GetService(),
+		Caller: fleetwire.Address(f.Caller), Address: fleetwire.Address(f.Address),
 	}
 	a.send(fleetwire.ParseAddress(x.GetOrigin()), h, nil)
 	if passed := x.GetPassed(); len(passed) > 0 {
--- a/internal/packet/agent_test.go
+++ b/internal/packet/agent_test.go
@@ -64,6 +64,8 @@
 	now   time.Time
 	// started is when the agent and its target started.
 	started time.Time
+	// port is the caller's port of the last flow of receiveOpening.
+	port uint16
 }
 
 func newTestAgent(c *qt.C, reply *fleetwire.PollReply) *testAgent {
--- a/internal/packet/balancer.go
+++ b/internal/packet/balancer.go
@@ -70,6 +70,7 @@
 	pendingOpens map[mangokeel.Flow]pendingOpen
 	health       map[netip.AddrPort]*agentHealth
 	reachability reachability
+	revisions    revisions
 	// standby is the last result of Serving as far as it depends on control's request to stand by.
 	standby bool
 	// frame, buf and candidates are scratch space that is reused for each packet.
@@ -139,12 +140,16 @@
 // next-ranked target if the directory is unresponsive.
 func (b *Balancer) forwardOpening(s *fleet.State, route *fleet.Route, f mangokeel.Flow, p mangokeel.Packet, late bool, raw []byte) {
 	h := hashOf(f)
-	service := route.ChooseService(h)
 	now := b.now()
-	b.rankCandidates(s, service, h, now)
+	d := decision{s.Revision, route.ChooseService(h)}
+	b.revisions.update(s, b.view.LastContact())
+	if newer := b.revisions.decisions[f.Address]; newer.revision > d.revision {
+		d = newer
+	}
+	b.rankCandidates(s, d.service, h, now)
 	if len(b.candidates) == 0 {
 		if p.Copy == 0 && s.TargetsKnown(now) {
-			b.events.record(Refused, f, "reason", "no target", "service", service, "revision", s.Revision)
+			b.events.record(Refused, f, "reason", "no target", "service", d.service, "revision", d.revision)
 			b.link.SendToCaller(f.Caller.Addr(), b.codec.Reset(p))
 			return
 		}
@@ -172,9 +177,9 @@
 	if to != first {
 		b.events.record(Bypassed, f, "first", first.Agent, "to", to.Agent, "copy", p.Copy)
 	}
-	b.frame.Late = late
-	b.sendFrame(to.Agent, fleetwire.Kind_KIND_OPEN, s.Revision, service, raw)
-	b.frame.Late = false
+	b.frame.Late, b.frame.Known = late, b.revisions.oldest(now)
+	b.sendFrame(to.Agent, fleetwire.Kind_KIND_OPEN, d.revision, d.service, raw)
+	b.frame.Late, b.frame.Known = false, 0
 }
 
 // rankCandidates sets candidates to the first targets of a flow, or to all if none of the first ones
@@ -322,7 +327,8 @@
 		return
 	}
 	s := b.view.State()
-	if x.GetRevision() > s.Revision {
+	known := x.GetKnown()
+	if max(x.GetRevision(), known) > s.Revision {
 		b.refresh()
 	}
 	agent, f := fleetwire.ParseAddress(x.GetOrigin()), flowOf(&x)
@@ -332,6 +338,12 @@
 	}
 	b.mu.Lock()
 	defer b.mu.Unlock()
+	if known > s.Revision {
+		b.revisions.observe(known, b.now())
+		if x.GetService() != "" && f.Address.IsValid() {
+			b.revisions.record(f.Address, decision{x.GetKnown(), x.GetService()})
+		}
+	}
 	if _, ok := b.hints[f]; !ok && len(b.hints) >= maxHints {
 		b.events.count(Dropped)
 		return
--- a/internal/packet/placement.go
+++ b/internal/packet/placement.go
@@ -70,6 +70,13 @@
 	finishTimeDivisor = 3
 )
 
+// Reasons for which an agent refuses flows whatever the load of the targets is.
+const (
+	refusedNoRoute = "no route"
+	// refusedOutdated flows would be routed by an older configuration than flows before.
+	refusedOutdated = "configuration outdated"
+)
+
 // loadEstimate is an agent's estimate of the load and health of another agent's target.
 type loadEstimate struct {
 	busy        float64
@@ -232,29 +239,45 @@
 	}
 }
 
-// chooseService returns the service that a new flow belongs to, by the newer of this agent's
-// configuration and the sender's. It returns false if the route does not exist.
-func (a *Agent) chooseService(s *fleet.State, x *fleetwire.Frame, f mangokeel.Flow) (service string, ok bool) {
+// chooseService returns the service that a new flow belongs to, by the newest of this agent's
+// configuration, the sender's, and what other nodes have decided for the address. If the flow must be
+// refused, refusal is the reason.
+func (a *Agent) chooseService(s *fleet.State, x *fleetwire.Frame, f mangokeel.Flow) (service, refusal string) {
+	now := a.now()
+	a.revisions.update(s, a.view.LastContact())
+	a.revisions.require(x.GetKnown(), now)
 	if x.GetRevision() > s.Revision {
-		return x.GetService(), x.GetService() != ""
-	}
-	route := s.Routes[f.Address]
-	if route == nil {
-		return "", false
+		a.revisions.observe(x.GetRevision(), now)
+		a.revisions.record(f.Address, decision{x.GetRevision(), x.GetService()})
+	}
+	if d := a.revisions.decisions[f.Address]; d.revision > x.GetRevision() {
+		x.Revision, x.Service, x.Outdated = d.revision, d.service, true
+	}
+	if x.GetRevision() <= s.Revision {
+		x.Outdated = x.GetOutdated() || x.GetRevision() < s.Revision
+		x.Revision = s.Revision
+		route := s.Routes[f.Address]
+		if route == nil {
+			return "", refusedNoRoute
+		}
+		if !route.Allows(x.GetService()) {
+			x.Service = route.ChooseService(hashOf(f))
+		}
 	}
-	service = x.GetService()
-	if !route.Allows(service) {
-		service = route.ChooseService(hashOf(f))
+	switch {
+	case x.GetRevision() < a.revisions.oldest(now):
+		return "", refusedOutdated
+	case x.GetService() == "":
+		return "", refusedNoRoute
 	}
-	x.Revision, x.Service = s.Revision, service
-	return service, service != ""
+	return x.GetService(), ""
 }
 
 // placeFlow assigns a new flow to a target: the own one, or a better one of another agent.
 func (a *Agent) placeFlow(s *fleet.State, x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
-	service, ok := a.chooseService(s, x, f)
-	if !ok {
-		a.refuse(x, f, p, "no route")
+	service, refusal := a.chooseService(s, x, f)
+	if refusal != "" {
+		a.refuse(x, f, p, refusal)
 		return
 	}
 	own := len(a.queue.list) == 0 && a.acceptsNow(s, service, f)
@@ -274,9 +297,9 @@
 
 // placeElsewhere assigns a flow that the own target did not accept to another target.
 func (a *Agent) placeElsewhere(s *fleet.State, x *fleetwire.Frame, f mangokeel.Flow, p mangokeel.Packet, raw []byte) {
-	service, ok := a.chooseService(s, x, f)
-	if !ok {
-		a.refuse(x, f, p, "no route")
+	service, refusal := a.chooseService(s, x, f)
+	if refusal != "" {
+		a.refuse(x, f, p, refusal)
 		return
 	}
 	if !a.passToBetter(s, x, f, service, p, raw, true) {
--- a/internal/packet/queue.go
+++ b/internal/packet/queue.go
@@ -148,14 +148,14 @@
 	a.refuseStalled(a.now())
 	for len(a.queue.list) > 0 {
 		w := a.queue.list[0]
-		service, ok := a.chooseService(s, w.frame, w.flow)
-		if ok && a.acceptsNow(s, service, w.flow) {
+		service, refusal := a.chooseService(s, w.frame, w.flow)
+		if refusal == "" && a.acceptsNow(s, service, w.flow) {
 			a.queue.pop()
 			a.events.waitTimes.Observe(a.now().Sub(w.queuedAt).Seconds())
 			a.openFlow(w.frame, w.flow, w.packet, w.raw)
 			continue
 		}
-		if ok && a.acceptsService(s, service) {
+		if refusal == "" && a.acceptsService(s, service) {
 			return // the target is full, so all packets behind must wait too
 		}
 		a.queue.pop()
