replica: a leader that has committed an entry of its term counts as a whole voter again

Looked for after a report of operators about disks that were full one after another.

Cause: the mark of a log that was cut in the middle of a record (meta.Cut) is cleared by followers only. An instance that was elected by all while it had the mark keeps it while it leads; its vote does not count after its next start.

Ruled out: the plain sequence of full disks.

Change: a leader clears its mark once an entry of its own term is committed and on its own disk.

Test: TestCutLeaderIsWhole failed before. TestDisksFullInTurn is new and passed before, too: it guards the report.

--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -221,6 +221,30 @@
 	qt.Assert(t, b.e.core.role, qt.Equals, candidate)
 }
 
+// Guards against a log that stays without a leader although a majority runs: one voter has lost its end
+// of the log, was elected by all, has led since, and counts as one without it after its next start.
+func TestCutLeaderIsWhole(t *testing.T) {
+	b := newEngineTest(t)
+	m := proto.CloneOf(b.e.core.meta)
+	m.Cut = true
+	qt.Assert(t, b.e.storage.writeMeta(m), qt.IsNil)
+	b.open()
+	b.now = b.now.Add(2 * maxElectionTimeout)
+	b.e.core.tick(b.now)
+	for i, phase := range []wire.Phase{wire.Phase_PHASE_PRE, wire.Phase_PHASE_REAL} {
+		for _, from := range []string{"c1", "c2"} {
+			b.step(&wire.VoteReply{Phase: phase, From: from, Term: uint64(i + 1), Asked: 2, Granted: true})
+		}
+	}
+	qt.Assert(t, b.e.core.role, qt.Equals, leader)
+	qt.Assert(t, b.e.core.meta.GetCut(), qt.IsTrue, qt.Commentf("nothing of its own term is accepted yet"))
+	b.ack("c1", 1, b.e.core.log.last())
+	qt.Assert(t, b.e.core.settled(), qt.IsTrue)
+	qt.Assert(t, b.e.core.meta.GetCut(), qt.IsFalse)
+	b.crash()
+	qt.Assert(t, b.vote("c1", 3, 9, 2).GetCut(), qt.IsFalse)
+}
+
 // Guards against a log that cannot elect a leader because only a voter being removed
 // has the entries that a majority of the new voters lacks.
 func TestLeavingVoterMayLead(t *testing.T) {
--- a/internal/replica/leader.go
+++ b/internal/replica/leader.go
@@ -343,9 +343,20 @@
 		c.setCommit(n)
 		c.updateConfirmed()
 	}
+	c.clearOwnCut()
 	c.advanceMembership()
 }
 
+// clearOwnCut clears meta.Cut of a leader once an entry of its term is committed and on its disk. Either
+// all voters elected it, or a majority whose logs have not lost their ends, so its log has every
+// committed entry.
+func (c *core) clearOwnCut() {
+	if c.meta.GetCut() && c.settled() && c.stable >= c.commit {
+		c.meta.Cut = false
+		c.metaDirty = true
+	}
+}
+
 // advanceMembership takes the next step of a membership change once the previous one is
 // committed: it ends a joint membership, steps down if this instance is no voter any
 // more, or starts the promotion of a joining learner that has caught up.
--- a/internal/replica/sim_test.go
+++ b/internal/replica/sim_test.go
@@ -883,3 +883,43 @@
 	t.Logf("time without a leader: median %v, 90th percentile %v, maximum %v", times[50], times[90], times[99])
 	qt.Assert(t, times[90] <= target, qt.IsTrue, qt.Commentf("%v in nine of ten cases", times[90]))
 }
+
+// Guards against changes that stay unanswered although all instances run again: the disks of the
+// voters are full one after another, never two at once, while changes go on. Once the last one has
+// room again, a change must be accepted within the 2 s in which an isolated instance is noticed.
+func TestDisksFullInTurn(t *testing.T) {
+	const target, full = 2 * time.Second, 4 * time.Second
+	var times []time.Duration
+	for seed := range envUint("MANGOKEEL_SCHEDULES", 40) {
+		s := newSim(seed)
+		s.faultsEnded = true
+		s.t.Advance(3 * time.Second)
+		r := rand.New(rand.NewPCG(seed, 4))
+		gap := []time.Duration{0, 100 * time.Millisecond, time.Second, 5 * time.Second}[r.IntN(4)]
+		voters := len(s.hosts[0].cfg.Members)
+		for _, i := range r.Perm(voters) {
+			h := s.hosts[i]
+			if l := s.leader(); l != nil && r.IntN(3) == 0 {
+				h = l
+			}
+			h.disk.Limit = 1
+			if names, err := h.disk.List(); err == nil && r.IntN(2) == 0 { // room for a part of a record
+				for _, name := range names {
+					b, _ := h.disk.Read(name)
+					h.disk.Limit += len(b) + r.IntN(100)
+				}
+			}
+			s.t.Advance(full)
+			h.disk.Limit = 0
+			s.t.Advance(gap)
+		}
+		at, before := s.t.Now(), len(s.accepted)
+		for len(s.accepted) == before && s.t.Now().Sub(at) < 4*target {
+			s.t.Advance(10 * time.Millisecond)
+		}
+		times = append(times, s.t.Now().Sub(at))
+		qt.Check(t, times[seed] <= target, qt.IsTrue, qt.Commentf("seed %d: %v after the last disk had room again: %v", seed, times[seed], s.describe()))
+	}
+	slices.Sort(times)
+	t.Logf("time to a change: median %v, maximum %v", times[len(times)/2], times[len(times)-1])
+}
