replica: a record that a full disk took in part is removed at once

What callers would see: changes unanswered, after disks that were full one after another, until all instances are back: the votes of an instance whose log ends in a damaged record do not count until it has caught up.

Cause: a failed append left a part of the record behind, which the next start could not tell from damage by a power failure. The same holds for the second copy of the last record that each start writes.

Change: after a failed append the log is shortened to its last whole record; the error of that is reported with the first. A failed sync is left as it is.

Test: TestFullDiskDoesNotCutTheLog failed before (cut was set).

--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -424,7 +424,7 @@
 		return err
 	}
 	if err := s.file.Append(rec); err != nil {
-		return err
+		return errors.CombineErrors(err, s.removePartialRecord())
 	}
 	if err := s.file.Sync(); err != nil {
 		return err
@@ -435,6 +435,12 @@
 	return nil
 }
 
+// removePartialRecord removes what a failed append has left at the end of the open segment. No instance
+// relies on it, but the next start would take it for a damaged record.
+func (s *storage) removePartialRecord() error {
+	return s.disk.Truncate(segmentName(s.segments[len(s.segments)-1].number), int64(s.segmentSize))
+}
+
 // resetLog replaces the whole log with the snapshot that ends at entry i.
 func (s *storage) resetLog(i, term uint64) error {
 	if err := s.startSegment(); err != nil {
--- a/internal/replica/storage_test.go
+++ b/internal/replica/storage_test.go
@@ -3,6 +3,7 @@
 import (
 	"bytes"
 	"fmt"
+	"syscall"
 	"testing"
 
 	"github.com/cockroachdb/errors"
@@ -189,3 +190,40 @@
 		qt.Assert(b, st.entries.last(), qt.Equals, uint64(entryCount))
 	}
 }
+
+// Guards against a log that counts as cut because its disk was full: a part of the record that did not fit
+// stayed behind, and the instance's votes did not count until it had caught up.
+func TestFullDiskDoesNotCutTheLog(t *testing.T) {
+	c := qt.New(t)
+	d := &disk.Fake{}
+	open := func() (*storage, *recoveredState) {
+		s, st, err := openStorage(d, 1<<20, func() string { return "c0" })
+		c.Assert(err, qt.IsNil)
+		return s, st
+	}
+	used := func() (n int) {
+		names, err := d.List()
+		c.Assert(err, qt.IsNil)
+		for _, name := range names {
+			b, err := d.Read(name)
+			c.Assert(err, qt.IsNil)
+			n += len(b)
+		}
+		return n
+	}
+	s, _ := open()
+	c.Assert(s.writeMeta(&wire.Meta{Id: "c0", Cluster: "x", Term: 1, Starts: 1}), qt.IsNil)
+	entry := &wire.Entry{Index: 1, Term: 1, Body: &wire.Entry_Command{Command: make([]byte, 100)}}
+	c.Assert(s.append(0, 0, []*wire.Entry{entry}), qt.IsNil)
+	s, _ = open()
+	d.Limit = used() + 50
+	entry = &wire.Entry{Index: 2, Term: 1, Body: &wire.Entry_Command{Command: make([]byte, 100)}}
+	c.Assert(s.append(1, 1, []*wire.Entry{entry}), qt.ErrorIs, syscall.ENOSPC)
+	// The next start writes its second copy of the last record, which does not fit either.
+	_, _, err := openStorage(d, 1<<20, func() string { return "c0" })
+	c.Assert(err, qt.ErrorIs, syscall.ENOSPC)
+	d.Limit = 0
+	_, st := open()
+	c.Assert(st.meta.GetCut(), qt.IsFalse)
+	c.Assert(st.entries.last(), qt.Equals, uint64(1))
+}
