replica: a log that cannot be opened leaves no file open

What callers would see: a control instance whose disk is full for long runs out of descriptors, and stays away after the disk has room again.

Cause: the last segment's file was opened before the writes that a start makes, and not closed when these failed.

Ruled out: the folder's own descriptor, which was closed.

Change: openStorage closes the file whatever fails after it was opened.

Test: TestFailedOpenClosesFiles failed before (3 files open after 3 tries).

--- a/internal/replica/storage.go
+++ b/internal/replica/storage.go
@@ -68,50 +68,53 @@
 // instance ID for an empty directory. Each call counts as a start, which is
 // written to the metadata before openStorage returns.
 func openStorage(d mangokeel.Disk, limit int, newID func() string) (*storage, *recoveredState, error) {
-	names, err := d.List()
-	if err != nil {
+	s, st := &storage{disk: d, segmentLimit: limit}, &recoveredState{}
+	if err := s.recover(st, newID); err != nil {
+		if s.file != nil {
+			err = errors.CombineErrors(err, s.file.Close())
+		}
 		return nil, nil, err
 	}
-	s := &storage{disk: d, segmentLimit: limit}
+	st.meta = proto.Clone(s.meta).(*wire.Meta)
+	return s, st, nil
+}
+
+// recover reads the data directory, or initializes an empty one, and opens the last segment.
+func (s *storage) recover(st *recoveredState, newID func() string) error {
+	names, err := s.disk.List()
+	if err != nil {
+		return err
+	}
 	meta, err := s.readMeta(names)
 	if err != nil {
-		return nil, nil, err
+		return err
 	}
 	if meta == nil {
 		return s.create(names, newID())
 	}
 	s.meta = meta
-	st := &recoveredState{}
 	if err := s.readSnapshot(names, st); err != nil {
-		return nil, nil, err
-	}
-	if err := s.readSegments(names, st); err != nil {
-		return nil, nil, err
+		return err
 	}
-	st.meta = proto.Clone(s.meta).(*wire.Meta)
-	return s, st, nil
+	return s.readSegments(names, st)
 }
 
 // create initializes a data directory that holds no data. It rejects non-empty
 // files, because they show that the metadata was lost.
-func (s *storage) create(names []string, id string) (*storage, *recoveredState, error) {
+func (s *storage) create(names []string, id string) error {
 	for _, name := range names {
 		b, err := s.disk.Read(name)
 		if err != nil {
-			return nil, nil, err
+			return err
 		}
 		if len(b) > 0 {
-			return nil, nil, corruptf("%s exists without a meta file", name)
+			return corruptf("%s exists without a meta file", name)
 		}
 	}
 	if err := s.openSegment(1); err != nil {
-		return nil, nil, err
-	}
-	m := &wire.Meta{Id: id, Segment: 1, Starts: 1}
-	if err := s.writeMeta(m); err != nil {
-		return nil, nil, err
+		return err
 	}
-	return s, &recoveredState{meta: proto.Clone(m).(*wire.Meta)}, nil
+	return s.writeMeta(&wire.Meta{Id: id, Segment: 1, Starts: 1})
 }
 
 // readMeta returns the newest valid copy of the metadata, or nil if there is none.
--- a/internal/replica/storage_test.go
+++ b/internal/replica/storage_test.go
@@ -227,3 +227,56 @@
 	c.Assert(st.meta.GetCut(), qt.IsFalse)
 	c.Assert(st.entries.last(), qt.Equals, uint64(1))
 }
+
+// countingDisk counts the files that are open.
+type countingDisk struct {
+	*disk.Fake
+	open int
+}
+
+func (d *countingDisk) Open(name string) (mangokeel.File, error) {
+	f, err := d.Fake.Open(name)
+	if err != nil {
+		return nil, err
+	}
+	d.open++
+	return countedFile{f, d}, nil
+}
+
+type countedFile struct {
+	mangokeel.File
+	d *countingDisk
+}
+
+func (f countedFile) Close() error {
+	f.d.open--
+	return f.File.Close()
+}
+
+// Guards against files that stay open at each try to open a log that cannot be opened, until the process
+// has no descriptors left for the log, for peers or for operators.
+func TestFailedOpenClosesFiles(t *testing.T) {
+	c := qt.New(t)
+	d := &countingDisk{Fake: newTestDisk(t, 9)}
+	s, _, err := openStorage(d, 60, newID)
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.close(), qt.IsNil)
+	full := false
+	d.Hook = func(op disk.Op, _ string, _ bool) error {
+		if full && op == disk.OpAppend {
+			return syscall.ENOSPC
+		}
+		return nil
+	}
+	full = true
+	for range 3 {
+		_, _, err := openStorage(d, 60, newID)
+		c.Assert(err, qt.ErrorIs, syscall.ENOSPC)
+	}
+	c.Assert(d.open, qt.Equals, 0)
+	full = false
+	s, _, err = openStorage(d, 60, newID)
+	c.Assert(err, qt.IsNil)
+	c.Assert(s.close(), qt.IsNil)
+	c.Assert(d.open, qt.Equals, 0)
+}
