fleet: a command that cannot be decoded changes nothing

What callers would see: all control instances end, and end again at each start, since the command is in the log. Looked for after a report of operators about one odd entry that ended the machines that read the list.

Cause: the state machine panicked at such a command, and `propose` passed on what any process sent.

Change: such a command changes nothing, as in the product's own roster, and is not proposed.

Test: TestOddCommandEndsNoInstance failed before.

--- a/internal/fleet/desired.go
+++ b/internal/fleet/desired.go
@@ -41,11 +41,11 @@
 	return &DesiredState{state: &fleetwire.Desired{}, changed: make(chan struct{})}
 }
 
-// Apply implements mangokeel.Machine.
+// Apply implements mangokeel.Machine. Commands that cannot be decoded change nothing.
 func (m *DesiredState) Apply(r mangokeel.Revision, command []byte) []byte {
 	var d fleetwire.Command
 	if err := wire.Unpack(command, &d); err != nil {
-		panic(errors.NewAssertionErrorWithWrappedErrf(err, "decode command at revision %d", r))
+		d.Reset()
 	}
 	m.mu.Lock()
 	defer m.mu.Unlock()
--- a/internal/fleet/desired_test.go
+++ b/internal/fleet/desired_test.go
@@ -1,6 +1,8 @@
 package fleet
 
 import (
+	"bytes"
+	"context"
 	"testing"
 	"time"
 
@@ -171,3 +173,38 @@
 	c.Assert(r.Allows("c"), qt.IsFalse)
 	c.Assert((&Route{}).ChooseService(1), qt.Equals, "")
 }
+
+// Guards against one odd command in the log that ends every instance, again at each start, and against
+// such a command that another process gets into the log.
+func TestOddCommandEndsNoInstance(t *testing.T) {
+	c := qt.New(t)
+	m := NewDesiredState()
+	c.Assert(apply(c, m, 1, install(3, route("10.0.0.1:1", "s"))).GetInstalled(), qt.IsTrue)
+	for i, b := range [][]byte{nil, {0xff}, []byte("install"), bytes.Repeat([]byte{0xa}, 1000)} {
+		out := &fleetwire.Result{}
+		c.Assert(proto.Unmarshal(m.Apply(mangokeel.Revision(2+i), b), out), qt.IsNil)
+		c.Assert(out.GetInstalled(), qt.IsFalse)
+		c.Assert(out.GetVersion(), qt.Equals, uint64(3))
+
+		l := &recordingLog{}
+		s := NewServer(NewDesiredState(), l, nil)
+		_, err := s.handlePropose(context.Background(), &fleetwire.ProposeRequest{Command: b})
+		c.Assert(err, qt.ErrorMatches, "command: .*")
+		c.Assert(l.proposed, qt.Equals, 0)
+		s.Close()
+	}
+	c.Assert(apply(c, m, 9, install(4, route("10.0.0.1:1", "s"))).GetInstalled(), qt.IsTrue)
+}
+
+// recordingLog is a log of a leader that counts proposals.
+type recordingLog struct {
+	fixedLog
+	proposed int
+}
+
+func (l *recordingLog) Status() mangokeel.LogStatus { return mangokeel.LogStatus{Leading: true} }
+
+func (l *recordingLog) Propose(context.Context, []byte) ([]byte, mangokeel.Revision, error) {
+	l.proposed++
+	return nil, 0, nil
+}
--- a/internal/fleet/registry_test.go
+++ b/internal/fleet/registry_test.go
@@ -1,6 +1,7 @@
 package fleet
 
 import (
+	"math"
 	"net/netip"
 	"testing"
 	"time"
@@ -364,3 +365,34 @@
 		list = s.RankTargets(list[:0], "s", "z", 7)
 	}
 }
+
+// Guards against one odd announcement that ends the nodes that read the list of targets, hides the other
+// targets from them, or stops them from following it (a report of operators).
+func TestOddAnnouncements(t *testing.T) {
+	c := qt.New(t)
+	good := announcement(agentA, 1)
+	odd := []*fleetwire.Announcement{
+		{Agent: "10.0.0.2:70000", Service: "s", State: fleetwire.State_STATE_READY, Serial: 1},
+		{Agent: "10.0.0.3", Service: "s", Serial: 1},
+		{Agent: agentB, Serial: 1},
+		{Agent: agentB, Service: "s", State: 99, Serial: math.MaxUint64, Start: math.MaxUint64, Load: &fleetwire.Load{Slots: math.MaxUint32, Busy: math.MaxUint32}},
+	}
+	now := time.Now()
+	v := &View{}
+	for i := range 2 { // the second time as changes
+		r := &fleetwire.PollReply{Term: 1, Registry: uint64(i + 1), All: i == 0, Complete: true, Announcements: append(odd, good)}
+		v.Apply(r, now)
+		c.Assert(v.State().Agents[netip.MustParseAddrPort(agentA)], qt.Not(qt.IsNil))
+		c.Assert(v.State().Agents, qt.HasLen, 2)
+		good = announcement(agentA, 2)
+	}
+	c.Assert(v.State().RankTargets(nil, "s", "z", 1), qt.HasLen, 2)
+
+	s := NewServer(NewDesiredState(), &recordingLog{}, nil)
+	defer s.Close()
+	s.registry.startTerm(1, now)
+	for _, a := range append(odd[:3], good) {
+		s.handleAnnouncement(&fleetwire.PollRequest{Node: "n", Announcement: a})
+	}
+	c.Assert(s.registry.size(), qt.Equals, 1)
+}
--- a/internal/fleet/server.go
+++ b/internal/fleet/server.go
@@ -424,6 +424,9 @@
 	if !s.log.Status().Leading {
 		return &fleetwire.ProposeReply{}, nil
 	}
+	if err := wire.Unpack(r.GetCommand(), &fleetwire.Command{}); err != nil {
+		return nil, errors.Wrap(err, "command")
+	}
 	raw, rev, err := s.log.Propose(ctx, r.GetCommand())
 	if errors.Is(err, mangokeel.ErrNotLeader) {
 		return &fleetwire.ProposeReply{}, nil
