fleet: the oldest removed routes are forgotten

Cause: a removed route stayed in the replicated state for good, and each change copied all of them.

Change: 1,024 removed routes are kept, whole revisions at a time; the newest forgotten revision is a new field of the state. Nodes that are older get all routes.

--- a/internal/fleet/desired.go
+++ b/internal/fleet/desired.go
@@ -25,10 +25,14 @@
 	"mangokeel/internal/wire"
 )
 
+// maxTombstones bounds the removed routes that are kept so that nodes get only what has changed. Each
+// change of the configuration copies all of them.
+const maxTombstones = 1024
+
 // DesiredState is the state machine replicated by the log. It is safe for concurrent use.
 type DesiredState struct {
 	mu sync.Mutex
-	// state.Config.Version never decreases. Removed routes stay as tombstones.
+	// state.Config.Version never decreases. The last removed routes stay as tombstones.
 	state *fleetwire.Desired
 	// changed is closed and replaced at each change.
 	changed chan struct{}
@@ -92,11 +96,29 @@
 		}
 		next.Routes = append(next.Routes, x)
 	}
+	m.forgetRemoved(next)
 	m.state.Config = next
 	m.advance(r)
 	return true
 }
 
+// forgetRemoved drops the oldest tombstones of a configuration if there are more than maxTombstones.
+// Those of one revision are kept or dropped together.
+func (m *DesiredState) forgetRemoved(c *fleetwire.Configuration) {
+	var revisions []uint64
+	for _, x := range c.GetRoutes() {
+		if x.GetGone() {
+			revisions = append(revisions, x.GetRevision())
+		}
+	}
+	if len(revisions) <= maxTombstones {
+		return
+	}
+	slices.Sort(revisions)
+	m.state.Forgotten = revisions[len(revisions)-maxTombstones-1]
+	c.Routes = slices.DeleteFunc(c.Routes, func(x *fleetwire.Route) bool { return x.GetGone() && x.GetRevision() <= m.state.GetForgotten() })
+}
+
 // inherit sets the former services of x from the route that it replaces, and keeps the
 // revision if the route has not changed.
 func inherit(x, prev *fleetwire.Route) {
@@ -211,9 +233,9 @@
 		return
 	}
 	c := m.state.GetConfig()
-	out.Whole = revision == 0
+	out.Whole = revision == 0 || revision < m.state.GetForgotten()
 	for _, x := range c.GetRoutes() {
-		if x.GetRevision() > revision && !(out.GetWhole() && x.GetGone()) {
+		if out.GetWhole() && !x.GetGone() || !out.GetWhole() && x.GetRevision() > revision {
 			out.Routes = append(out.Routes, proto.CloneOf(x))
 		}
 	}
--- a/internal/fleet/desired_test.go
+++ b/internal/fleet/desired_test.go
@@ -3,6 +3,8 @@
 import (
 	"bytes"
 	"context"
+	"encoding/hex"
+	"net/netip"
 	"testing"
 	"time"
 
@@ -158,6 +160,71 @@
 	c.Assert(n.Restore(3, []byte("no snapshot")), qt.ErrorIs, mangokeel.ErrCorrupt)
 }
 
+// Guards against changes that take longer and longer, and a state that grows, with all routes ever
+// removed (review cases 1 and 3), and against nodes that keep a removed route because it is forgotten.
+func TestRemovedRoutesAreForgotten(t *testing.T) {
+	c := qt.New(t)
+	const perChange, changes = 100, 40
+	m := NewDesiredState()
+	late, current := &View{}, &View{}
+	now := time.Now()
+	poll := func(m *DesiredState, v *View) *fleetwire.PollReply {
+		out := &fleetwire.PollReply{Complete: true}
+		m.fillChanges(v.State().Revision, out)
+		v.Apply(out, now)
+		return out
+	}
+	address := func(change, i int) string {
+		return netip.AddrPortFrom(addr(1).Addr(), uint16(1+change*perChange+i)).String()
+	}
+	for n := range changes {
+		list := []*fleetwire.Route{route(one, "s")} // the same in all versions
+		for i := range perChange {
+			list = append(list, route(address(n, i), "s"))
+		}
+		apply(c, m, mangokeel.Revision(n+1), install(uint64(n+1), list...))
+		c.Assert(poll(m, current).GetWhole(), qt.Equals, n == 0)
+		c.Assert(current.State().Routes, qt.HasLen, 1+perChange)
+		if n == 0 {
+			poll(m, late)
+		}
+	}
+	c.Assert(len(m.state.GetConfig().GetRoutes()) <= 1+perChange+maxTombstones, qt.IsTrue)
+	b, err := m.Snapshot()
+	c.Assert(err, qt.IsNil)
+	restored := NewDesiredState()
+	c.Assert(restored.Restore(changes, b), qt.IsNil)
+	for _, x := range []*DesiredState{m, restored} {
+		v := &View{}
+		v.state.Store(late.State())
+		c.Assert(poll(x, v).GetWhole(), qt.IsTrue)
+		c.Assert(v.State().Routes, qt.DeepEquals, current.State().Routes)
+	}
+}
+
+// Guards against a snapshot that the build before the forgotten routes cannot read, and against one of
+// that build that this one reads otherwise. The bytes are those that it wrote.
+func TestSnapshotOfTheBuildBefore(t *testing.T) {
+	c := qt.New(t)
+	const before = "0a3c08021201021a1f0a0e3139382e31382e302e313a34343312050a016210011a0161200230f4031a140a0e3139382e31382e302e323a3434332002280112070a017a100118031803220a31302e302e302e313a37"
+	b, err := hex.DecodeString(before)
+	c.Assert(err, qt.IsNil)
+	m := NewDesiredState()
+	c.Assert(m.Restore(4, b), qt.IsNil)
+	version, content := m.Config()
+	c.Assert(version, qt.Equals, uint64(2))
+	c.Assert(content, qt.DeepEquals, []byte{2})
+	c.Assert(m.Agents(), qt.DeepEquals, []string{agentA})
+	again, err := m.Snapshot()
+	c.Assert(err, qt.IsNil)
+	c.Assert(hex.EncodeToString(again), qt.Equals, before)
+	// The build before skips the appended field, since it does not know its number.
+	m.state.Forgotten = 1
+	again, err = m.Snapshot()
+	c.Assert(err, qt.IsNil)
+	c.Assert(hex.EncodeToString(again), qt.Equals, before+"2801")
+}
+
 // Guards against flows sent to a service of weight 0, and against a distribution that does not
 // follow the weights.
 func TestShares(t *testing.T) {
