--- a/internal/replica/core_test.go
+++ b/internal/replica/core_test.go
@@ -278,6 +278,49 @@
 	qt.Assert(t, Reform(&disk.Fake{}, cfg), qt.ErrorIs, ErrMember)
 }
 
+// Guards against restarts and new members that take as long as the log has grown: hundreds of entries were
+// applied one by one, so that leaders were deposed meanwhile (review case 3) and a member with an
+// empty disk was no voter yet when the next disk was lost (review case 1).
+func TestSnapshotsBoundTheReplay(t *testing.T) {
+	b := newEngineTest(t)
+	start := func() {
+		b.open()
+		b.e.background = func(work func() error, done func(error)) { done(work()) }
+		b.win()
+	}
+	start()
+	const entries = 1000
+	for i := range entries {
+		first, err := b.e.core.propose(b.now, [][]byte{make([]byte, 1000)})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, b.e.flush(), qt.IsNil)
+		b.ack("c1", 1, first)
+		qt.Assert(t, b.e.applied, qt.Equals, first, qt.Commentf("entry %d", i))
+		replayed := b.e.applied - b.e.core.snapshot.GetIndex()
+		qt.Assert(t, replayed <= minSnapshotEntries, qt.IsTrue, qt.Commentf("%d entries to apply after a restart", replayed))
+		inMemory := b.e.core.log.last() - b.e.core.log.base
+		qt.Assert(t, inMemory <= minSnapshotEntries+defaultKeepEntries, qt.IsTrue, qt.Commentf("%d entries for a new member", inMemory))
+	}
+	b.crash()
+	qt.Assert(t, b.e.applied > entries-minSnapshotEntries, qt.IsTrue)
+}
+
+// Guards against a snapshot after every few entries if the state is much larger than these.
+func TestLargeStateIsSavedRarely(t *testing.T) {
+	b := newEngineTest(t)
+	b.e.background = func(work func() error, done func(error)) { done(work()) }
+	b.e.core.snapshot = &wire.Snapshot{Index: 1, Term: 1, State: make([]byte, 1<<20), Membership: b.e.core.membership}
+	b.e.applied, b.e.core.commit = 1, 1
+	b.win()
+	for range 4 * minSnapshotEntries {
+		first, err := b.e.core.propose(b.now, [][]byte{make([]byte, 100)})
+		qt.Assert(t, err, qt.IsNil)
+		qt.Assert(t, b.e.flush(), qt.IsNil)
+		b.ack("c1", 1, first)
+	}
+	qt.Assert(t, b.e.core.snapshot.GetIndex(), qt.Equals, uint64(1))
+}
+
 // Guards against unbounded growth of a leader's log while no follower confirms entries.
 func TestUncommittedLimit(t *testing.T) {
 	b := newEngineTest(t)
--- a/internal/replica/engine.go
+++ b/internal/replica/engine.go
@@ -10,6 +10,11 @@
 	"mangokeel/internal/wire"
 )
 
+// minSnapshotEntries is how many entries are applied between two snapshots at least. A leader applies
+// those of earlier terms at once, and is deposed if that takes longer than minElectionTimeout: a
+// configuration of some hundred routes takes 2 ms on a small instance.
+const minSnapshotEntries = 128
+
 // engine executes the decisions of the core on the storage and the state machine.
 // It starts no goroutines.
 type engine struct {
@@ -140,8 +145,7 @@
 // last one. The state is captured synchronously, because the machine must not change
 // meanwhile; only the write to disk runs in the background.
 func (e *engine) maybeSnapshot() error {
-	last := e.core.snapshot.GetIndex()
-	if e.snapshotting || e.applied-last < e.opts.snapshotEntries && e.bytesSinceSnapshot < e.opts.snapshotBytes {
+	if e.snapshotting || !e.snapshotDue() {
 		return nil
 	}
 	b, err := e.machine.Snapshot()
@@ -158,6 +162,17 @@
 	return nil
 }
 
+// snapshotDue reports whether enough has been applied since the last snapshot: as many bytes as that has,
+// so that a restart takes about as long for the entries as for the snapshot, or the most that is
+// allowed.
+func (e *engine) snapshotDue() bool {
+	entries := e.applied - e.core.snapshot.GetIndex()
+	if entries >= e.opts.snapshotEntries || e.bytesSinceSnapshot >= e.opts.snapshotBytes {
+		return true
+	}
+	return entries >= minSnapshotEntries && e.bytesSinceSnapshot >= len(e.core.snapshot.GetState())
+}
+
 // finishSnapshot compacts the log up to a snapshot that is now durable. It discards the
 // snapshot if one from the leader with the same or a later index was installed
 // while it was being written.
--- a/internal/replica/options.go
+++ b/internal/replica/options.go
@@ -27,8 +27,10 @@
 const (
 	defaultSnapshotEntries = 1 << 14
 	defaultSnapshotBytes   = 16 << 20
-	defaultKeepEntries     = 1 << 10
-	defaultSegmentBytes    = 8 << 20
+	// defaultKeepEntries is also the most entries that a new member gets one by one instead of in a
+	// snapshot.
+	defaultKeepEntries  = 1 << 7
+	defaultSegmentBytes = 8 << 20
 	// defaultBatchBytes limits the size of the entries in one append call.
 	defaultBatchBytes = 1 << 20
 	// defaultSnapshotChunkBytes is the size of one chunk of a snapshot transfer. At
@@ -71,7 +73,8 @@
 // WithSnapshots takes a snapshot after the given number of applied entries or
 // bytes of commands, whichever is reached first. The last keep entries before the
 // snapshot stay in the log so that lagging members can catch up without a snapshot
-// transfer. The defaults are 16,384 entries, 16 MiB and 1,024 entries.
+// transfer. The defaults are 16,384 entries, 16 MiB and 128 entries. A snapshot is taken earlier if the
+// entries since the last one are larger than that.
 func WithSnapshots(entries, bytes, keep int) Option {
 	return func(o *options) {
 		o.snapshotEntries, o.snapshotBytes, o.keepEntries = uint64(entries), bytes, uint64(keep)
