jsonrpc: fields that a later build has added are ignored

Cause: messages between processes were decoded strictly, so that a process of this build refused every poll or reply of a later one with a field more, while machines are replaced one after the other.

Change: unknown fields are ignored in requests and replies.

Test: TestUnknownFields failed before (unknown field "id").

--- a/internal/jsonrpc/jsonrpc.go
+++ b/internal/jsonrpc/jsonrpc.go
@@ -143,7 +143,7 @@
 	}
 	req := m.New()
 	if r.Params != nil {
-		if err := protojson.Unmarshal(*r.Params, req); err != nil {
+		if err := decoder.Unmarshal(*r.Params, req); err != nil {
 			return nil, &jsonrpc2.Error{Code: jsonrpc2.CodeInvalidParams, Message: err.Error()}
 		}
 	}
@@ -173,7 +173,10 @@
 func (m message) MarshalJSON() ([]byte, error) { return protojson.Marshal(m.m) }
 
 // UnmarshalJSON implements json.Unmarshaler.
-func (m *message) UnmarshalJSON(b []byte) error { return protojson.Unmarshal(b, m.m) }
+func (m *message) UnmarshalJSON(b []byte) error { return decoder.Unmarshal(b, m.m) }
+
+// decoder ignores fields that a later build has added.
+var decoder = protojson.UnmarshalOptions{DiscardUnknown: true}
 
 var _ json.Unmarshaler = (*message)(nil)
 
--- a/internal/jsonrpc/jsonrpc_test.go
+++ b/internal/jsonrpc/jsonrpc_test.go
@@ -46,6 +46,19 @@
 	c.Assert(err, qt.ErrorMatches, "unknown method nothing")
 }
 
+// Guards against processes of different builds that refuse each other's messages because one of them has
+// a field more. The other messages stand for those of the later build.
+func TestUnknownFields(t *testing.T) {
+	c := qt.New(t)
+	srv, err := jsonrpc.Listen(local, methods(0))
+	c.Assert(err, qt.IsNil)
+	defer srv.Close()
+	cl := jsonrpc.NewClient()
+	defer cl.Close()
+	var resp wire.LeaveReply
+	c.Assert(cl.Call(context.Background(), srv.Addr(), "join", &wire.Balancer{Id: 3, Zone: "ebene"}, &resp), qt.IsNil)
+}
+
 // Guards against a call whose outcome is unknown being reported as not sent, and
 // the other way round.
 func TestErrNotSent(t *testing.T) {
