packet: one log line for deferred reports until the target's next report

Cause: each new id of another sender's reports was logged without a limit, so a sender that changes it could fill the log.

Ruled out: the lines for rejected reports, which have the limit of failures.

Change: the line is written once until the current incarnation reports again, so at most once in a report period. A comment named a method that does not exist.

--- a/internal/packet/admission.go
+++ b/internal/packet/admission.go
@@ -278,7 +278,7 @@
 // target. Until then the target may be the other one, which may be cold.
 func (a *Agent) deferReport(r Report) {
 	g := &a.admission
-	if d := g.deferred; d == nil || d.ID != r.ID || !d.StartedAt.Equal(r.StartedAt) {
+	if g.deferred == nil {
 		a.events.logChange("report of another incarnation deferred", "id", r.ID, "current", g.id, "silent", a.now().Sub(g.lastReport))
 	}
 	g.deferred, g.deferredStop = &r, false
--- a/internal/packet/revision.go
+++ b/internal/packet/revision.go
@@ -27,7 +27,7 @@
 // revisions tracks which newer configurations other nodes use, so that a node that control does not
 // reach never routes by an older configuration than it has before. The zero value is ready to use.
 type revisions struct {
-	// bound is the oldest configuration that may be used. It never decreases until expire drops it.
+	// bound is the oldest configuration that may be used. It never decreases until update drops it.
 	bound uint64
 	// newest is the newest configuration known to be in use. It becomes the bound at boundAt.
 	newest  uint64
