--- a/internal/packet/admission.go
+++ b/internal/packet/admission.go
@@ -50,7 +50,7 @@
 	ID        string
 	StartedAt time.Time
 	Service   string
-	// Address is where the target takes packets, or the zero value if the report does not tell.
+	// Address is where the target takes packets, or the zero value if the report does not include it.
 	Address netip.AddrPort
 	// Draining targets keep their flows and accept no new ones.
 	Draining bool
--- a/internal/packet/balancer.go
+++ b/internal/packet/balancer.go
@@ -341,7 +341,7 @@
 	if known > s.Revision {
 		b.revisions.observe(known, b.now())
 		if x.GetService() != "" && f.Address.IsValid() {
-			b.revisions.record(f.Address, decision{x.GetKnown(), x.GetService()})
+			b.revisions.record(f.Address, decision{known, x.GetService()})
 		}
 	}
 	if _, ok := b.hints[f]; !ok && len(b.hints) >= maxHints {
