review/10: the delayed heartbeat, at the pace of the site files

The agents and the balancer are now restarted 1.2 s apart, as the site files have it, and not 0.6 s; the clients go on 4.6 s after the last one.

Each case runs on a network of its own unless NETWORK is given: two cases that were started together met once on the same ports.

--- a/review/6/run.sh
+++ b/review/6/run.sh
@@ -6,9 +6,9 @@
 dir=$(mktemp -d) || exit 2
 trap 'rm -rf "$dir"' EXIT
 mkdir "$dir/1" "$dir/2"
-NETWORK=$((${NETWORK:-0} + 1)) target/review-two replaced "$dir/1" >/dev/null &
+NETWORK=$((${NETWORK:-60} + 1)) target/review-two replaced "$dir/1" >/dev/null &
 first=$!
-NETWORK=$((${NETWORK:-0} + 2)) target/review-two moved "$dir/2" >/dev/null &
+NETWORK=$((${NETWORK:-60} + 2)) target/review-two moved "$dir/2" >/dev/null &
 second=$!
 trap 'kill $first $second 2>/dev/null; wait; rm -rf "$dir"; exit 2' INT TERM HUP
 wait $first
--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -2,4 +2,4 @@
 # All processes of the core are killed as one writes, and one machine loses its disk.
 here=$(cd "$(dirname "$0")" && pwd)
 cd "$here/../.." || exit 2
-exec target/review-two torn "$here"
+NETWORK=${NETWORK:-70} exec target/review-two torn "$here"
--- a/review/_two/flows.go
+++ b/review/_two/flows.go
@@ -86,7 +86,8 @@
 // held is a flow at a host.
 type held struct {
 	own, peer uint32
-	open      bool
+	// accepted is set once the host has answered the SYN, open once it has the end of the handshake.
+	accepted, open bool
 }
 
 // host is the stand-in for a host beside an agent.
@@ -103,14 +104,23 @@
 
 	mu    sync.Mutex
 	flows map[netip.AddrPort]*held
+	// taken counts the requests that the host works on or queues. slots bounds those that it works on at a time.
+	taken int
+	slots chan struct{}
 	// returned counts the packets that the host returned.
 	returned int
 	// ran are the requests that the host ran.
 	ran []string
 }
 
-// work is how long a request takes.
-const work = 20 * time.Millisecond
+// capacity is what a host can do: how many requests it works on at a time, how many more it queues, and how long one takes.
+type capacity struct {
+	slots, queue int
+	work         time.Duration
+}
+
+// small is a host of dispatch at sieste-hq.
+var small = capacity{slots: 2, queue: 8, work: 20 * time.Millisecond}
 
 // heartbeat is the period of the heartbeats: HeartbeatMs.
 const heartbeat = 770 * time.Millisecond
@@ -128,7 +138,7 @@
 func (w *world) newHost(m *machine) (*host, error) {
 	h := &host{
 		w: w, m: m, id: fmt.Sprintf("i-%08x", rand.Uint32()), born: time.Now().UnixMilli(), stopped: make(chan struct{}),
-		flows: map[netip.AddrPort]*held{},
+		flows: map[netip.AddrPort]*held{}, slots: make(chan struct{}, w.hosts.slots),
 	}
 	addr, err := net.ResolveUDPAddr("udp4", w.at(m, portApp))
 	if err != nil {
@@ -167,8 +177,8 @@
 
 // body returns the next heartbeat of the host.
 func (h *host) body() string {
-	return fmt.Sprintf(`{"Service":"dispatch","Address":%q,"Zone":%q,"Version":"v1","Concurrency":2,"State":"ready","WarmupLeftMs":0,"Seq":%d,"born":%d}`,
-		h.w.at(h.m, portApp), h.m.zone, h.serial.Add(1), h.born)
+	return fmt.Sprintf(`{"Service":"dispatch","Address":%q,"Zone":%q,"Version":"v1","Concurrency":%d,"State":"ready","WarmupLeftMs":0,"Seq":%d,"born":%d}`,
+		h.w.at(h.m, portApp), h.m.zone, h.w.hosts.slots, h.serial.Add(1), h.born)
 }
 
 // beat sends heartbeats until one is acknowledged.
@@ -196,8 +206,8 @@
 
 func (h *host) send(p packet) { _, _ = h.udp.WriteToUDP(p.encode(), h.out) }
 
-// serve answers packets: a SYN with a SYN+ACK, the request of an open flow with an answer at once, and returns all
-// others.
+// serve answers packets: a SYN with a SYN+ACK, the request of an open flow with an answer once it has run, and returns
+// all others.
 func (h *host) serve() {
 	b := make([]byte, 4096)
 	for {
@@ -223,7 +233,7 @@
 			h.flows[p.src] = f
 		}
 		f.peer = p.seq + 1
-		h.send(packet{src: p.dst, dst: p.src, seq: f.own, ack: p.seq + 1, flags: flagSyn | flagAck})
+		h.accept(f, packet{src: p.dst, dst: p.src, seq: f.own, ack: p.seq + 1, flags: flagSyn | flagAck})
 		return
 	}
 	f := h.flows[p.src]
@@ -241,20 +251,67 @@
 	if len(p.data) == 0 {
 		return
 	}
-	id := requestID(string(p.data))
 	if p.seq != f.peer {
 		return
 	}
 	f.peer += uint32(len(p.data))
-	h.ran = append(h.ran, id)
-	h.w.say("host %s runs %s", h.id, id)
-	time.AfterFunc(work, func() {
+	id, size := requestID(string(p.data)), h.w.hosts
+	if h.taken >= size.slots+size.queue {
+		h.answer(f, p, "503 Service Unavailable\r\nNot-Executed: 1")
+		return
+	}
+	h.taken++
+	go func() {
+		h.slots <- struct{}{}
+		h.mu.Lock()
+		h.ran = append(h.ran, id)
+		h.mu.Unlock()
+		h.w.say("host %s runs %s", h.id, id)
+		time.Sleep(size.work)
+		<-h.slots
 		h.mu.Lock()
 		defer h.mu.Unlock()
-		answer := "HTTP/1.1 200 OK\r\nServer-Stamp: " + h.id + "\r\nContent-Length: 2\r\n\r\nok"
-		h.send(packet{src: p.dst, dst: p.src, seq: f.own, ack: f.peer, flags: flagAck, data: []byte(answer)})
-		f.own += uint32(len(answer))
-	})
+		h.taken--
+		h.answer(f, p, "200 OK\r\nServer-Stamp: "+h.id)
+	}()
+}
+
+// answer sends the answer to the request of a packet.
+func (h *host) answer(f *held, p packet, status string) {
+	text := "HTTP/1.1 " + status + "\r\nContent-Length: 2\r\n\r\nok"
+	h.send(packet{src: p.dst, dst: p.src, seq: f.own, ack: f.peer, flags: flagAck, data: []byte(text)})
+	f.own += uint32(len(text))
+}
+
+// accept answers a SYN. Until the flow is open, the host sends the answer again after 200 ms and at intervals that
+// double up to 1.6 s; after 8 times it gives up.
+func (h *host) accept(f *held, p packet) {
+	h.send(p)
+	if f.accepted {
+		return
+	}
+	f.accepted = true
+	h.w.say("host %s accepts the flow of port %d with seq %d", h.id, p.dst.Port(), p.seq)
+	go func() {
+		pause := 200 * time.Millisecond
+		for range 8 {
+			select {
+			case <-h.stopped:
+				return
+			case <-time.After(pause):
+			}
+			pause = min(2*pause, 1600*time.Millisecond)
+			h.mu.Lock()
+			open := f.open
+			if !open {
+				h.send(p)
+			}
+			h.mu.Unlock()
+			if open {
+				return
+			}
+		}
+	}()
 }
 
 func requestID(s string) string {
@@ -282,6 +339,10 @@
 
 	mu    sync.Mutex
 	flows map[uint16]*flow
+	// lose has the ports of the flows whose next SYN+ACK is lost on its way to the client. received and lost count the
+	// packets on their way to it, and those of them that are lost.
+	lose           map[uint16]bool
+	received, lost int
 }
 
 // startCaller starts a client at an address.
@@ -290,7 +351,7 @@
 	if err != nil {
 		return nil, err
 	}
-	c := &caller{w: w, ip: netip.MustParseAddr(ip), udp: udp, flows: map[uint16]*flow{}}
+	c := &caller{w: w, ip: netip.MustParseAddr(ip), udp: udp, flows: map[uint16]*flow{}, lose: map[uint16]bool{}}
 	go func() {
 		b := make([]byte, 4096)
 		for {
@@ -307,13 +368,19 @@
 func (c *caller) handle(p packet, own bool) {
 	c.mu.Lock()
 	defer c.mu.Unlock()
-	f := c.flows[p.dst.Port()]
+	port := p.dst.Port()
+	f := c.flows[port]
+	c.received++
 	switch {
 	case f == nil:
+	case p.flags == flagSyn|flagAck && c.lose[port]:
+		delete(c.lose, port)
+		c.lost++
+		c.w.say("-- lost on its way: %v", p)
 	case p.flags&flagRst != 0:
 		if near := int32(p.seq - f.ack); !f.open || near > -76800 && near < 76800 {
 			f.resets = append(f.resets, fmt.Sprintf("%v (of the system's own: %v)", p, !own))
-			c.w.say("client port %d: reset %v, of the system's own: %v", p.dst.Port(), p, !own)
+			c.w.say("client port %d: reset %v, of the system's own: %v", port, p, !own)
 		}
 	case p.flags == flagSyn|flagAck && !f.open:
 		f.open, f.ack = true, p.seq+1
@@ -355,7 +422,7 @@
 			c.send(through, packet{src: f.src, dst: f.dst, seq: f.seq, ack: uint32(i), flags: flagSyn})
 			i++
 		}
-		time.Sleep(time.Millisecond)
+		time.Sleep(min(time.Millisecond, copies[i]-time.Since(begin)))
 	}
 }
 
--- a/review/_two/stale.go
+++ b/review/_two/stale.go
@@ -9,8 +9,12 @@
 	"time"
 )
 
-// idle is a pause that clients make in a flow, below IdleTimeoutMs and MaxFlowS.
-const idle = 9 * time.Second
+// idle is a pause that clients make in a flow, below IdleTimeoutMs and MaxFlowS. It ends more than ContactMs after the last
+// of five machines was started again.
+const idle = 10500 * time.Millisecond
+
+// rollGap is the time between steps of roll_term: 1.2 s in the site files.
+const rollGap = 1200 * time.Millisecond
 
 // flows is how many flows the clients keep open.
 const flows = 120
@@ -68,6 +72,25 @@
 	return front, sides, nil
 }
 
+// roll stops and starts machines in turn. The delayed heartbeat, if there is one, arrives as the first of them is back.
+func (w *world) roll(list []*machine, d *delayed) error {
+	begin := time.Now()
+	for i, m := range list {
+		time.Sleep(time.Duration(i)*rollGap - time.Since(begin))
+		w.signal(m, syscall.SIGTERM)
+		if !w.ended(m, grace) {
+			return errors.New("a process did not end within GraceS")
+		}
+		if err := w.start(m); err != nil {
+			return err
+		}
+		if i == 0 && w.trouble && d != nil {
+			d.arrive()
+		}
+	}
+	return nil
+}
+
 // pause opens flows, lets them pause while all agents and the balancer are restarted in turn, and goes on with them. The
 // heartbeat arrives as the first agent is back. It returns how many flows the system has reset.
 func pause(w *world, front *machine, sides []*machine, d *delayed) (int, error) {
@@ -88,19 +111,10 @@
 	clients.Wait()
 	began := time.Now()
 	w.say("-- %d flows are open and pause; all agents and the balancer are stopped and started in turn", flows)
-	for i, m := range append(append([]*machine{}, sides...), front) {
-		w.signal(m, syscall.SIGTERM)
-		if !w.ended(m, grace) {
-			return 0, errors.New("a process did not end within GraceS")
-		}
-		if err := w.start(m); err != nil {
-			return 0, err
-		}
-		if i == 0 && w.trouble {
-			d.arrive()
-		}
-		time.Sleep(500 * time.Millisecond)
+	if err := w.roll(append(append([]*machine{}, sides...), front), d); err != nil {
+		return 0, err
 	}
+	w.say("-- all processes are back %.1f s after the flows were open", time.Since(began).Seconds())
 	time.Sleep(idle - time.Since(began))
 	w.say("-- the clients go on after %.1f s", time.Since(began).Seconds())
 	broken := 0
--- a/review/_two/world.go
+++ b/review/_two/world.go
@@ -69,6 +69,8 @@
 	base    int
 	trouble bool
 	seeds   []*machine
+	// hosts is the capacity of each host.
+	hosts capacity
 	// env is added to the environment of the processes.
 	env []string
 
@@ -89,7 +91,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{dir: dir, record: record, started: time.Now(), trouble: os.Getenv("TROUBLE") != "0"}
+	w := &world{dir: dir, record: record, started: time.Now(), trouble: os.Getenv("TROUBLE") != "0", hosts: small}
 	for w.base = 21000; w.base < 31000; w.base += 50 {
 		if w.free() {
 			return w, nil
