review/9: a lost SYN+ACK, then planned restarts, and open flows are reset

One datagram in each of 4 flows is lost, so that two hosts accept the flow. After a restart of balancer and agents in turn, an agent takes its host's repeated SYN+ACK for a flow that goes on, and names itself its owner; the host returns the packet, and the agent resets a flow that another host holds.

--- a/review/_two/control.go
+++ b/review/_two/control.go
@@ -17,6 +17,7 @@
 	"early":    early,
 	"stale":    stale,
 	"late":     late,
+	"lost":     lost,
 }
 
 // Bounds of the pages for a small deployment.
