--- a/review/_two/control.go
+++ b/review/_two/control.go
@@ -15,6 +15,7 @@
 	"moved":    moved,
 	"torn":     torn,
 	"early":    early,
+	"soon":     soon,
 	"stale":    stale,
 	"late":     late,
 	"lost":     lost,
@@ -54,13 +55,13 @@
 	return v
 }
 
-// core returns n core machines in as many zones, the seeds of the deployment, that start for the first time.
+// core returns n core machines in three zones, the seeds of the deployment, that start for the first time.
 func (w *world) core(n int) []*machine {
 	zones := []string{"port-louis", "plaisance", "ebene"}
 	var list []*machine
 	for i := range n {
 		list = append(list, w.add(&machine{
-			name: fmt.Sprintf("core-%s-1", zones[i]), class: "core", role: "control", zone: zones[i], ip: loopback(1 + i), first: true,
+			name: fmt.Sprintf("core-%s-%d", zones[i%3], 1+i/3), class: "core", role: "control", zone: zones[i%3], ip: loopback(1 + i), first: true,
 		}))
 	}
 	w.seeds = list
--- a/review/_two/world.go
+++ b/review/_two/world.go
@@ -69,6 +69,8 @@
 	base    int
 	trouble bool
 	seeds   []*machine
+	// losses is how many machines with a disk may be lost at once.
+	losses int
 	// hosts is the capacity of each host.
 	hosts capacity
 	// env is added to the environment of the processes.
@@ -91,7 +93,7 @@
 	if err != nil {
 		return nil, err
 	}
-	w := &world{dir: dir, record: record, started: time.Now(), trouble: os.Getenv("TROUBLE") != "0", hosts: small}
+	w := &world{dir: dir, record: record, started: time.Now(), trouble: os.Getenv("TROUBLE") != "0", hosts: small, losses: 1}
 	for w.base = 21000; w.base < 31000; w.base += 50 {
 		if w.free() {
 			return w, nil
@@ -160,7 +162,7 @@
 		"Listen.Control": w.at(m, portControl), "Listen.outbound": w.at(m, portOutbound), "app": w.at(m, portApp),
 		"PortRange.0": fmt.Sprint(w.base + portFirst), "PortRange.1": fmt.Sprint(w.base + portLast),
 		"HeartbeatMs": "770", "Limits.MemoryMb": "280", "DataDir": w.data(m), "Bootstrap": fmt.Sprint(m.first),
-		"FaultTolerance.Machines": "1", "Seeds": strings.Join(seeds, ","),
+		"FaultTolerance.Machines": fmt.Sprint(w.losses), "Seeds": strings.Join(seeds, ","),
 	}
 	var missing error
 	out := placeholder.ReplaceAllStringFunc(string(text), func(s string) string {
